--- /dev/null
+++ b/src/proxy/allowance.cpp
@@ -0,0 +1,127 @@
+/// Token buckets whose tokens move between hosts.
+#include <bronzespar/proxy/allowance.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace bronzespar::proxy {
+
+namespace {
+
+/// Demand is measured over spans of this length.
+constexpr duration DemandSpan = std::chrono::milliseconds(500);
+/// Tokens for this much of the own demand are kept when others ask.
+constexpr double KeepSeconds = 0.4;
+/// Below this much of the own demand, other hosts are asked.
+constexpr double LowSeconds = 0.5;
+/// Asked for at once; more would rest unused at one host.
+constexpr double AskSeconds = 0.6;
+/// Tokens handed over are void after this: rates count over short windows.
+constexpr duration ReceivedLifetime = std::chrono::seconds(2);
+
+void measureDemand(account_allowance &Allowance, instant Now) {
+  const duration Span = Now - Allowance.DemandSince;
+  if (Span < DemandSpan)
+    return;
+  const double Rate = Allowance.Taken / toSeconds(Span);
+  Allowance.DemandPerSecond = (Allowance.DemandPerSecond + Rate) / 2;
+  Allowance.Taken = 0;
+  Allowance.DemandSince = Now;
+}
+
+void dropStale(account_allowance &Allowance, instant Now) {
+  if (Now > Allowance.ReceivedAt + ReceivedLifetime)
+    Allowance.Received = 0;
+}
+
+} // namespace
+
+void divideRates(allowance_table &Table, const proxy_settings &Settings,
+                 std::size_t Hosts, instant Now) {
+  Table.Hosts = std::max<std::size_t>(Hosts, 1);
+  const double Part = 1.0 / static_cast<double>(Table.Hosts);
+  for (const auto &[Name, Account] : Settings.Accounts) {
+    const auto [Found, IsNew] = Table.Accounts.try_emplace(Name);
+    if (IsNew)
+      Found->second.Bucket.FilledAt = Now;
+    resizeBucket(Found->second.Bucket, Account.RatePerSecond * Part,
+                 std::max(Account.Burst * Part, 1.0), Now);
+  }
+  std::erase_if(Table.Accounts, [&](const auto &Entry) {
+    return !Settings.Accounts.contains(Entry.first);
+  });
+}
+
+bool takeToken(allowance_table &Table, const std::string &Account,
+               instant Now) {
+  const auto Found = Table.Accounts.find(Account);
+  if (Found == Table.Accounts.end())
+    return true;
+  account_allowance &Allowance = Found->second;
+  measureDemand(Allowance, Now);
+  dropStale(Allowance, Now);
+  Allowance.Taken += 1;
+  if (Allowance.Received >= 1) {
+    Allowance.Received -= 1;
+    return true;
+  }
+  return bronzespar::takeToken(Allowance.Bucket, Now);
+}
+
+void returnToken(allowance_table &Table, const std::string &Account) {
+  const auto Found = Table.Accounts.find(Account);
+  if (Found != Table.Accounts.end())
+    Found->second.Bucket.Tokens =
+        std::min(Found->second.Bucket.Tokens + 1, Found->second.Bucket.Burst);
+}
+
+double tokensToAsk(account_allowance &Allowance, instant Now) {
+  measureDemand(Allowance, Now);
+  dropStale(Allowance, Now);
+  fillBucket(Allowance.Bucket, Now);
+  if (Now < Allowance.AskAfter)
+    return 0;
+  const double Demand =
+      std::max(Allowance.DemandPerSecond,
+               Allowance.Taken / std::max(toSeconds(Now - Allowance.DemandSince),
+                                          toSeconds(DemandSpan)));
+  const double Held = Allowance.Bucket.Tokens + Allowance.Received;
+  if (Demand <= 0 || Held >= std::max(1.0, Demand * LowSeconds))
+    return 0;
+  return std::ceil(Demand * AskSeconds);
+}
+
+double handOver(allowance_table &Table, const std::string &Account,
+                double Wanted, instant Now) {
+  const auto Found = Table.Accounts.find(Account);
+  if (Found == Table.Accounts.end())
+    return 0;
+  account_allowance &Allowance = Found->second;
+  measureDemand(Allowance, Now);
+  fillBucket(Allowance.Bucket, Now);
+  const double Spare =
+      Allowance.Bucket.Tokens - Allowance.DemandPerSecond * KeepSeconds;
+  const double Given = std::floor(std::clamp(Wanted, 0.0, std::max(Spare, 0.0)));
+  Allowance.Bucket.Tokens -= Given;
+  return Given;
+}
+
+void receiveTokens(allowance_table &Table, const std::string &Account,
+                   double Tokens, instant Now) {
+  const auto Found = Table.Accounts.find(Account);
+  if (Found == Table.Accounts.end())
+    return;
+  dropStale(Found->second, Now);
+  Found->second.Received += Tokens;
+  Found->second.ReceivedAt = Now;
+}
+
+duration untilOwnToken(const allowance_table &Table, const std::string &Account,
+                       instant Now) {
+  const auto Found = Table.Accounts.find(Account);
+  return Found == Table.Accounts.end()
+             ? duration::zero()
+             : untilToken(Found->second.Bucket, Now);
+}
+
+} // namespace bronzespar::proxy
--- /dev/null
+++ b/src/proxy/connections.cpp
@@ -0,0 +1,451 @@
+/// Connections to targets. Each belongs to one client account and knows the
+/// session values and prepared shapes that it holds.
+#include "parts.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace bronzespar::proxy {
+
+namespace {
+
+/// A target that is silent for this long is not reached.
+constexpr duration DialLimit = std::chrono::milliseconds(500);
+/// After a failed dial; a restarting target is back within seconds.
+constexpr duration DialPause = std::chrono::milliseconds(60);
+/// All connections of the target are in use; some are closed soon.
+constexpr duration FullPause = std::chrono::milliseconds(40);
+/// The address belongs to another target now.
+constexpr duration WrongTargetPause = std::chrono::milliseconds(500);
+/// A target that refused for lack of room is spared for this long.
+constexpr duration BusyPause = std::chrono::milliseconds(25);
+constexpr duration LeastLagPause = std::chrono::milliseconds(20);
+constexpr duration MostLagPause = std::chrono::milliseconds(400);
+/// Weight of the newest latency in the smoothed one.
+constexpr double LatencyWeight = 0.15;
+/// Prepared shapes that one connection holds at most.
+constexpr std::size_t MaxShapes = 48;
+/// An answer that nobody waits for holds its connection no longer.
+constexpr duration AbandonedLimit = std::chrono::seconds(2);
+/// Unused connections are closed after this, so that others may connect.
+constexpr duration IdleLimit = std::chrono::seconds(15);
+
+target_view *targetOf(step_context &Step, const target_connection &Connection) {
+  return findIn(Step.State.Targets, Connection.Target);
+}
+
+void setIdle(step_context &Step, target_connection &Connection) {
+  Connection.Phase = connection_phase::Idle;
+  Connection.Session = 0;
+  Connection.IdleSince = Step.Now;
+}
+
+void forget(step_context &Step, connection_number Number) {
+  target_connection *Connection = findIn(Step.State.Connections, Number);
+  if (Connection == nullptr)
+    return;
+  if (target_view *Target = targetOf(Step, *Connection)) {
+    if (Target->Connections > 0)
+      Target->Connections -= 1;
+    if (Connection->Phase == connection_phase::Running && Target->Running > 0)
+      Target->Running -= 1;
+  }
+  Step.State.Connections.erase(Number);
+}
+
+void sendMain(step_context &Step, target_connection &Connection,
+              target_request &Request) {
+  outgoing_statement Out;
+  Out.Id = Request.Id;
+  Out.Statement = Request.Statement;
+  if (Request.Statement.Kind == statement_kind::Execute) {
+    const caller_session &Session = Step.State.Sessions.at(Request.Session);
+    Out.Statement.Name =
+        Connection.Shapes.at(Session.Prepared.at(Request.Statement.Name).Shape);
+  }
+  if (!Request.InTransaction)
+    Out.NotBefore = Request.NotBefore;
+  if (Request.InTransaction && Request.Writes)
+    Step.State.Sessions.at(Request.Session).Transaction->Wrote = true;
+  Connection.Phase = connection_phase::Running;
+  Connection.SentAt = Step.Now;
+  if (target_view *Target = targetOf(Step, Connection))
+    Target->Running += 1;
+  Step.Out.push_back(
+      effects::send_target{Connection.Number, {std::move(Out)}});
+}
+
+statement ownStatement(statement_kind Kind, std::string Name = {},
+                       std::string Rest = {}) {
+  statement Out;
+  Out.Kind = Kind;
+  Out.Name = std::move(Name);
+  Out.Rest = std::move(Rest);
+  return Out;
+}
+
+/// Values, shape and BEGIN that the connection lacks for a statement.
+std::vector<outgoing_statement> setupFor(target_connection &Connection,
+                                         const caller_session &Session,
+                                         const target_request &Request) {
+  std::vector<outgoing_statement> Setup;
+  const auto Add = [&](statement Statement) {
+    Setup.push_back({{}, std::nullopt, std::move(Statement)});
+  };
+  const bool HoldsForeign = std::any_of(
+      Connection.Values.begin(), Connection.Values.end(),
+      [&](const auto &Held) { return !Session.Values.contains(Held.first); });
+  const bool InTransaction = Connection.Session != 0;
+  if (!InTransaction &&
+      (HoldsForeign || Connection.Shapes.size() >= MaxShapes)) {
+    Add(ownStatement(statement_kind::ResetValues));
+    Connection.Values.clear();
+    Connection.Shapes.clear();
+  }
+  for (const auto &[Name, Value] : Session.Values) {
+    std::string *Held = findIn(Connection.Values, Name);
+    if (Held != nullptr && *Held == Value)
+      continue;
+    Add(ownStatement(statement_kind::SetValue, Name, Value));
+    Connection.Values[Name] = Value;
+  }
+  if (Request.Statement.Kind == statement_kind::Execute) {
+    const std::string &Shape =
+        Session.Prepared.at(Request.Statement.Name).Shape;
+    if (!Connection.Shapes.contains(Shape)) {
+      const std::string Name =
+          "b" + std::to_string(Connection.Shapes.size() + 1);
+      Add(ownStatement(statement_kind::Prepare, Name, Shape));
+      Connection.Shapes[Shape] = Name;
+    }
+  }
+  return Setup;
+}
+
+void sendSetup(step_context &Step, target_connection &Connection,
+               target_request &Request, std::vector<outgoing_statement> Setup) {
+  if (Setup.empty()) {
+    sendMain(Step, Connection, Request);
+    return;
+  }
+  Connection.Phase = connection_phase::Preparing;
+  Connection.SetupLeft = static_cast<unsigned>(Setup.size());
+  Connection.SetupFault = answer_code::Complete;
+  Connection.SetupSpoilt = false;
+  Connection.SentAt = Step.Now;
+  Step.Out.push_back(
+      effects::send_target{Connection.Number, std::move(Setup)});
+}
+
+void learnPosition(step_context &Step, target_connection &Connection,
+                   log_position Position) {
+  target_view *Target = targetOf(Step, Connection);
+  if (Target == nullptr)
+    return;
+  Target->Known = std::max(Target->Known, Position);
+  group_state *Group = findIn(Step.State.Groups, Connection.Group);
+  if (Group != nullptr && Group->Record &&
+      Group->Record->Primary == Connection.Target &&
+      mayUsePrimary(Step.State, Connection.Group, Step.Now))
+    addSample(Group->Samples, Position, Connection.SentAt);
+}
+
+void setupAnswered(step_context &Step, target_connection &Connection,
+                   answer_code Code) {
+  Connection.SetupLeft -= 1;
+  const bool WasBegin = Connection.Opens && Connection.SetupLeft == 0;
+  if (Code != answer_code::Complete) {
+    if (Connection.SetupFault == answer_code::Complete)
+      Connection.SetupFault = Code;
+    Connection.SetupSpoilt = Connection.SetupSpoilt || !WasBegin;
+  }
+  if (Connection.SetupLeft > 0)
+    return;
+  target_request *Request =
+      findIn(Step.State.Requests, Connection.Request);
+  const bool Wanted = Request != nullptr && Request->Session != 0;
+  if (Wanted && Connection.SetupFault == answer_code::Complete) {
+    sendMain(Step, Connection, *Request);
+    return;
+  }
+  const connection_number Number = Connection.Number;
+  const answer_code Fault = Connection.SetupFault;
+  const std::string Target = Connection.Target;
+  Connection.Request = 0;
+  if (Connection.SetupSpoilt ||
+      (Connection.Opens && Fault == answer_code::Complete))
+    closeConnection(Step, Number);
+  else
+    setIdle(Step, Connection);
+  if (Request == nullptr)
+    return;
+  Request->Connection = 0;
+  if (Wanted && Request->InTransaction)
+    Step.State.Sessions.at(Request->Session).Transaction->Connection = 0;
+  Request->Avoid.insert(Target);
+  attemptFailed(Step, *Request, Fault == answer_code::Complete
+                                    ? answer_code::Busy
+                                    : Fault,
+                true);
+}
+
+void noteCode(step_context &Step, target_view &Target, answer_code Code) {
+  if (Code == answer_code::Busy || Code == answer_code::ReadOnly)
+    Target.BusyUntil = Step.Now + BusyPause;
+  if (Code == answer_code::Lagging) {
+    Target.LaggingUntil = Step.Now + Target.LagPause;
+    Target.LagPause = std::min(Target.LagPause * 2, MostLagPause);
+  }
+  if (Code == answer_code::Complete)
+    Target.LagPause = LeastLagPause;
+}
+
+/// Where the connection stands after a caller's statement was answered.
+void settleAfterStatement(step_context &Step, target_connection &Connection,
+                          session_phase Phase) {
+  if (Phase == session_phase::Idle)
+    setIdle(Step, Connection);
+  else
+    Connection.Phase = connection_phase::Resting;
+}
+
+void statementAnswered(step_context &Step, target_connection &Connection,
+                       answer &&Answer) {
+  const connection_number Number = Connection.Number;
+  const session_number Owner = Connection.Session;
+  if (target_view *Target = targetOf(Step, Connection)) {
+    if (Target->Running > 0)
+      Target->Running -= 1;
+    const double Latency = toMilliseconds(Step.Now - Connection.SentAt);
+    Target->LatencyMs += (Latency - Target->LatencyMs) * LatencyWeight;
+    noteCode(Step, *Target, Answer.Code);
+  }
+  if (Answer.Code == answer_code::UnknownName)
+    Connection.Shapes.clear();
+  settleAfterStatement(Step, Connection, Answer.Phase);
+  const bool LeftOpen = Connection.Phase == connection_phase::Resting;
+  requestAnswered(Step, Connection, std::move(Answer));
+  target_connection *Still = findIn(Step.State.Connections, Number);
+  if (Still == nullptr)
+    return;
+  if (Still->Phase != connection_phase::Running)
+    Still->Request = 0;
+  const bool OwnerLeft = Owner == 0 || !Step.State.Sessions.contains(Owner);
+  if (LeftOpen && OwnerLeft && Still->Phase == connection_phase::Resting)
+    endOnTarget(Step, *Still);
+}
+
+bool dialOverdue(const target_connection &Connection, instant Now) {
+  return Connection.Phase == connection_phase::Dialling &&
+         Now > Connection.DialledAt + DialLimit;
+}
+
+bool abandoned(const target_connection &Connection, instant Now) {
+  const bool Waits = Connection.Phase == connection_phase::Running ||
+                     Connection.Phase == connection_phase::Preparing ||
+                     Connection.Phase == connection_phase::Ending;
+  return Waits && Connection.Request == 0 &&
+         Now > Connection.SentAt + AbandonedLimit;
+}
+
+void dialFailed(step_context &Step, target_view &Target, instant Since) {
+  if (Target.DialFailures == 0)
+    Target.FirstDialFailure = Since;
+  Target.DialFailures += 1;
+  Target.DialAfter = Step.Now + DialPause;
+  noteReachability(Step, Target, false);
+}
+
+/// A caller's statement was on a connection that is gone.
+void attemptLost(step_context &Step, request_number Number,
+                 connection_number Connection, bool NotRun) {
+  target_request *Request = findIn(Step.State.Requests, Number);
+  if (Request == nullptr)
+    return;
+  if (Request->Connection != Connection) {
+    Request->Hedge = 0;
+    return;
+  }
+  Request->Connection = 0;
+  attemptFailed(Step, *Request,
+                NotRun ? answer_code::Busy : answer_code::InDoubt, NotRun);
+}
+
+} // namespace
+
+void dialTarget(step_context &Step, target_view &Target,
+                const std::string &Account) {
+  target_connection Connection;
+  Connection.Number = nextNumber(Step.State);
+  Connection.Target = Target.Entry.Id;
+  Connection.Group = Target.Entry.Group;
+  Connection.Account = Account;
+  Connection.DialledAt = Step.Now;
+  Connection.SentAt = Step.Now;
+  Target.Connections += 1;
+  Step.Out.push_back(effects::open_target{Connection.Number, Target.Entry.Where,
+                                          Target.Entry.Group, Account,
+                                          Target.Entry.Id});
+  Step.State.Connections.emplace(Connection.Number, std::move(Connection));
+}
+
+void beginAttempt(step_context &Step, target_connection &Connection,
+                  target_request &Request,
+                  std::optional<log_position> NotBefore) {
+  caller_session &Session = Step.State.Sessions.at(Request.Session);
+  Request.Connection = Connection.Number;
+  Request.NotBefore = NotBefore;
+  Request.Attempts += 1;
+  Connection.Request = Request.Number;
+  Connection.Opens = Request.InTransaction;
+  auto Setup = setupFor(Connection, Session, Request);
+  if (Request.InTransaction) {
+    const auto Kind = Session.Transaction->ReadOnly ? statement_kind::BeginRead
+                                                    : statement_kind::Begin;
+    Setup.push_back({{}, NotBefore, ownStatement(Kind)});
+    Connection.Session = Session.Number;
+    Session.Transaction->Connection = Connection.Number;
+  }
+  sendSetup(Step, Connection, Request, std::move(Setup));
+}
+
+void continueTransaction(step_context &Step, target_connection &Connection,
+                         target_request &Request) {
+  const caller_session &Session = Step.State.Sessions.at(Request.Session);
+  Request.Connection = Connection.Number;
+  Request.Attempts += 1;
+  Request.TokenTaken = false;
+  Connection.Request = Request.Number;
+  Connection.Opens = false;
+  sendSetup(Step, Connection, Request, setupFor(Connection, Session, Request));
+}
+
+void endOnTarget(step_context &Step, target_connection &Connection) {
+  Connection.Session = 0;
+  switch (Connection.Phase) {
+  case connection_phase::Resting:
+    Connection.Request = 0;
+    Connection.Phase = connection_phase::Ending;
+    Connection.SentAt = Step.Now;
+    Step.Out.push_back(effects::send_target{
+        Connection.Number,
+        {{{}, std::nullopt, ownStatement(statement_kind::Rollback)}}});
+    return;
+  case connection_phase::Preparing:
+  case connection_phase::Running:
+    closeConnection(Step, Connection.Number);
+    return;
+  default:
+    return;
+  }
+}
+
+void closeConnection(step_context &Step, connection_number Number) {
+  if (!Step.State.Connections.contains(Number))
+    return;
+  Step.Out.push_back(effects::close_target{Number});
+  forget(Step, Number);
+}
+
+void targetReady(step_context &Step, const events::target_ready &What) {
+  target_connection *Connection =
+      findIn(Step.State.Connections, What.Connection);
+  if (Connection == nullptr)
+    return;
+  setIdle(Step, *Connection);
+  if (target_view *Target = targetOf(Step, *Connection)) {
+    Target->AnsweredAt = Step.Now;
+    Target->DialFailures = 0;
+    noteReachability(Step, *Target, true);
+  }
+}
+
+void targetRefused(step_context &Step, const events::target_refused &What) {
+  target_connection *Connection =
+      findIn(Step.State.Connections, What.Connection);
+  if (Connection == nullptr)
+    return;
+  if (target_view *Target = targetOf(Step, *Connection)) {
+    const bool Full = What.Code == answer_code::TooManyConnections;
+    Target->DialAfter = Step.Now + (Full ? FullPause : WrongTargetPause);
+    logLine(Step, "target.refused",
+            {{"target", Connection->Target},
+             {"code", std::string(enumName(What.Code))},
+             {"connections", std::to_string(Target->Connections)}});
+  }
+  forget(Step, What.Connection);
+}
+
+void targetAnswered(step_context &Step, events::target_answered &&What) {
+  target_connection *Connection =
+      findIn(Step.State.Connections, What.Connection);
+  if (Connection == nullptr)
+    return;
+  if (target_view *Target = targetOf(Step, *Connection)) {
+    Target->AnsweredAt = Step.Now;
+    noteReachability(Step, *Target, true);
+  }
+  if (What.Answer.Position)
+    learnPosition(Step, *Connection, *What.Answer.Position);
+  switch (Connection->Phase) {
+  case connection_phase::Preparing:
+    setupAnswered(Step, *Connection, What.Answer.Code);
+    return;
+  case connection_phase::Running:
+    statementAnswered(Step, *Connection, std::move(What.Answer));
+    return;
+  case connection_phase::Ending:
+    if (What.Answer.Phase == session_phase::Idle)
+      setIdle(Step, *Connection);
+    else
+      closeConnection(Step, What.Connection);
+    return;
+  default:
+    closeConnection(Step, What.Connection);
+  }
+}
+
+void targetLost(step_context &Step, connection_number Number) {
+  const target_connection *Found = findIn(Step.State.Connections, Number);
+  if (Found == nullptr)
+    return;
+  const target_connection Lost = *Found;
+  forget(Step, Number);
+  target_view *Target = findIn(Step.State.Targets, Lost.Target);
+  if (Lost.Phase == connection_phase::Dialling) {
+    if (Target != nullptr)
+      dialFailed(Step, *Target, Lost.DialledAt);
+    return;
+  }
+  logLine(Step, "connection.lost",
+          {{"target", Lost.Target},
+           {"phase", std::string(enumName(Lost.Phase))},
+           {"account", Lost.Account}});
+  if (Lost.Phase == connection_phase::Preparing)
+    attemptLost(Step, Lost.Request, Number, true);
+  if (Lost.Phase == connection_phase::Running)
+    attemptLost(Step, Lost.Request, Number, false);
+}
+
+void superviseConnections(step_context &Step) {
+  std::vector<connection_number> Close;
+  for (auto &[Number, Connection] : Step.State.Connections) {
+    if (dialOverdue(Connection, Step.Now)) {
+      if (target_view *Target = targetOf(Step, Connection))
+        dialFailed(Step, *Target, Connection.DialledAt);
+      Close.push_back(Number);
+      continue;
+    }
+    const bool Idle = Connection.Phase == connection_phase::Idle;
+    const target_view *Target = targetOf(Step, Connection);
+    const bool Unlisted = Target == nullptr || !Target->Listed;
+    if (abandoned(Connection, Step.Now) ||
+        (Idle && (Unlisted || Target->Entry.Draining ||
+                  Step.Now > Connection.IdleSince + IdleLimit)))
+      Close.push_back(Number);
+  }
+  for (const connection_number Number : Close)
+    closeConnection(Step, Number);
+}
+
+} // namespace bronzespar::proxy
--- /dev/null
+++ b/src/proxy/listing.cpp
@@ -0,0 +1,99 @@
+/// Settings in force and listed targets. Settings never step back within one
+/// process; targets whose entries lapsed during an outage of the store are kept
+/// until shortly after its return.
+#include "parts.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace bronzespar::proxy {
+
+namespace {
+
+void closeAll(step_context &Step, const std::string &Target) {
+  std::vector<connection_number> Numbers;
+  for (const auto &[Number, Connection] : Step.State.Connections)
+    if (Connection.Target == Target)
+      Numbers.push_back(Number);
+  for (const connection_number Number : Numbers) {
+    Step.Out.push_back(effects::close_target{Number});
+    targetLost(Step, Number);
+  }
+}
+
+void logTarget(step_context &Step, std::string_view Event,
+               const target_entry &Entry) {
+  logLine(Step, Event,
+          {{"target", Entry.Id},
+           {"group", Entry.Group},
+           {"address", toText(Entry.Where)},
+           {"draining", Entry.Draining ? "true" : "false"},
+           {"says_primary", Entry.SaysPrimary ? "true" : "false"}});
+}
+
+void adoptEntry(step_context &Step, target_entry &&Entry) {
+  const auto [Found, IsNew] = Step.State.Targets.try_emplace(Entry.Id);
+  target_view &Target = Found->second;
+  const bool Restarted =
+      !IsNew && (Target.Entry.StartedAt != Entry.StartedAt ||
+                 Target.Entry.Where != Entry.Where ||
+                 Target.Entry.Group != Entry.Group);
+  const bool Changed = IsNew || Restarted || !Target.Listed ||
+                       Target.Entry.Draining != Entry.Draining ||
+                       Target.Entry.SaysPrimary != Entry.SaysPrimary;
+  if (Changed)
+    logTarget(Step, "target.listed", Entry);
+  Target.Listed = true;
+  Target.Absent = false;
+  Target.Entry = std::move(Entry);
+  if (Restarted) {
+    closeAll(Step, Target.Entry.Id);
+    Target.Known = {};
+    Target.DialAfter = {};
+  }
+}
+
+} // namespace
+
+void adoptSettings(step_context &Step, proxy_settings &&Settings) {
+  host &State = Step.State;
+  if (State.Settings && Settings.Version <= State.Settings->Version)
+    return;
+  logLine(Step, "settings.adopted",
+          {{"version", std::to_string(Settings.Version)},
+           {"routes", std::to_string(Settings.Routes.size())},
+           {"keys", std::to_string(Settings.Keys.size())}});
+  State.Settings = std::move(Settings);
+  for (const auto &[Name, Limits] : State.Settings->Groups)
+    State.Groups.try_emplace(Name);
+  divideAmongHosts(Step);
+}
+
+void adoptTargets(step_context &Step, std::vector<target_entry> &&Targets) {
+  host &State = Step.State;
+  std::set<std::string> Present;
+  for (target_entry &Entry : Targets) {
+    Present.insert(Entry.Id);
+    adoptEntry(Step, std::move(Entry));
+  }
+  State.TargetsKnown = true;
+  for (auto &[Id, Target] : State.Targets)
+    Target.Absent = !Present.contains(Id);
+}
+
+void dropAbsentTargets(step_context &Step) {
+  host &State = Step.State;
+  if (!State.StoreReached || Step.Now < State.KeepAbsentUntil)
+    return;
+  for (auto &[Id, Target] : State.Targets) {
+    if (!Target.Absent || !Target.Listed)
+      continue;
+    Target.Listed = false;
+    logTarget(Step, "target.gone", Target.Entry);
+  }
+  std::erase_if(State.Targets, [](const auto &Entry) {
+    return !Entry.second.Listed && Entry.second.Connections == 0;
+  });
+}
+
+} // namespace bronzespar::proxy
--- /dev/null
+++ b/src/proxy/parts.hpp
@@ -0,0 +1,101 @@
+/// What the parts of the session host ask of each other.
+#pragma once
+
+#include "state.hpp"
+
+#include <initializer_list>
+
+namespace bronzespar::proxy {
+
+// Sessions of callers (sessions.cpp).
+void openSession(step_context &Step, events::session_opened &&What);
+void acceptStatement(step_context &Step, events::statement_arrived &&What);
+void closeSession(step_context &Step, session_number Number);
+/// \brief Ends the transaction of a session whose target work is lost.
+void failTransaction(step_context &Step, caller_session &Session);
+/// \brief Runs statements that arrived while another was outstanding.
+void drainBacklog(step_context &Step, caller_session &Session);
+void endIdleTransactions(step_context &Step);
+
+// Requests (requests.cpp).
+void startRequest(step_context &Step, caller_session &Session, std::string Id,
+                  statement Statement);
+/// \brief Answers the caller and forgets the request.
+void finishRequest(step_context &Step, target_request &Request, answer Answer);
+/// \brief An attempt ended without an answer that can be passed on.
+/// \param NotRun The statement is proved not to have been run.
+void attemptFailed(step_context &Step, target_request &Request,
+                   answer_code Code, bool NotRun);
+void requestAnswered(step_context &Step, target_connection &Connection,
+                     answer &&Answer);
+void expireRequests(step_context &Step);
+
+// Placement of waiting requests (placement.cpp).
+void placeWaiting(step_context &Step);
+[[nodiscard]] std::optional<log_position>
+provenPosition(const host &State, const target_request &Request, instant Now);
+
+// Connections to targets (connections.cpp).
+void dialTarget(step_context &Step, target_view &Target,
+                const std::string &Account);
+void beginAttempt(step_context &Step, target_connection &Connection,
+                  target_request &Request,
+                  std::optional<log_position> NotBefore);
+void continueTransaction(step_context &Step, target_connection &Connection,
+                         target_request &Request);
+void endOnTarget(step_context &Step, target_connection &Connection);
+void closeConnection(step_context &Step, connection_number Number);
+void targetReady(step_context &Step, const events::target_ready &What);
+void targetRefused(step_context &Step, const events::target_refused &What);
+void targetAnswered(step_context &Step, events::target_answered &&What);
+void targetLost(step_context &Step, connection_number Number);
+void superviseConnections(step_context &Step);
+
+// Settings and targets (listing.cpp).
+void adoptSettings(step_context &Step, proxy_settings &&Settings);
+void adoptTargets(step_context &Step, std::vector<target_entry> &&Targets);
+void dropAbsentTargets(step_context &Step);
+
+// The host's lease, records and the use of primaries (primaries.cpp).
+[[nodiscard]] bool mayUsePrimary(const host &State, const std::string &Group,
+                                 instant Now);
+void superviseLease(step_context &Step);
+void leaseAnswered(step_context &Step, const events::lease_answered &What);
+void recordChanged(step_context &Step, const store_record &Record);
+void recordRemoved(step_context &Step, const std::string &Key);
+void recordsRead(step_context &Step, const events::records_read &What);
+void changeEnded(step_context &Step, const events::change_ended &What);
+void noteReachability(step_context &Step, target_view &Target, bool Answered);
+
+// Duty to order promotions (duty.cpp, promotion.cpp).
+void superviseDuty(step_context &Step);
+[[nodiscard]] bool dutyChangeEnded(step_context &Step,
+                                   const events::change_ended &What);
+[[nodiscard]] bool holdsDuty(const host &State, instant Now);
+void supervisePromotions(step_context &Step);
+[[nodiscard]] bool promotionChangeEnded(step_context &Step,
+                                        const events::change_ended &What);
+void targetProbed(step_context &Step, const events::target_probed &What);
+void promotionAnswered(step_context &Step,
+                       const events::promotion_answered &What);
+
+// Rates (rates.cpp).
+[[nodiscard]] bool admitOperation(step_context &Step,
+                                  const std::string &Account);
+void askForTokens(step_context &Step);
+void tokensAsked(step_context &Step, const events::tokens_asked &What);
+void tokensGranted(step_context &Step, const events::tokens_granted &What);
+void divideAmongHosts(step_context &Step);
+
+// Stopping and readiness (stopping.cpp).
+void requestStop(step_context &Step);
+void superviseStop(step_context &Step);
+void updateReadiness(step_context &Step);
+
+/// \brief Writes a log line.
+void logLine(step_context &Step, std::string_view Event,
+             std::initializer_list<effects::log_field> Fields);
+/// \brief Age of an instant, in milliseconds, as text.
+[[nodiscard]] std::string ageText(instant Then, instant Now);
+
+} // namespace bronzespar::proxy
--- /dev/null
+++ b/src/proxy/primaries.cpp
@@ -0,0 +1,283 @@
+/// This host's lease, and the right to use primaries that it carries.
+///
+/// A host uses a group's primary only while its lease is valid and the group's
+/// record is open. The lease counts from the sending of the call that proved it,
+/// so it has ended here before it has ended in the store. Whoever orders a
+/// promotion closes the record first and waits for each host's acknowledgement
+/// or the end of its lease.
+#include "parts.hpp"
+
+#include <utility>
+
+namespace bronzespar::proxy {
+
+namespace {
+
+/// Shorter leases cost more calls; longer ones delay a promotion past a host
+/// that is cut off.
+constexpr duration LeaseLength = std::chrono::milliseconds(2000);
+/// Renewals in each lease; two may be lost.
+constexpr int RenewalsPerLease = 4;
+/// Part of the lease in which primaries are used; covers timer lateness.
+constexpr double UsablePart = 0.9;
+constexpr duration RetryPause = std::chrono::milliseconds(150);
+/// Dials that fail for this long show that a target is not reached.
+constexpr duration BlindAfter = std::chrono::milliseconds(200);
+constexpr unsigned BlindFailures = 2;
+/// One silent dial of this length does, too.
+constexpr duration SilentDial = std::chrono::milliseconds(450);
+/// Statements under way at a primary that is being replaced get this long.
+constexpr duration ClosingSlack = std::chrono::milliseconds(250);
+
+std::string ownKey(const host &State) {
+  return std::string(HostsPrefix) + State.Identity.Name;
+}
+
+void loseLease(step_context &Step) {
+  lease_state &Lease = Step.State.Lease;
+  logLine(Step, "lease.lost", {{"lease", std::to_string(Lease.Lease)}});
+  const instant Next = Lease.NextCall;
+  Lease = {};
+  Lease.NextCall = Next;
+  Step.State.Duty.Held = false;
+}
+
+/// Statements that still run at the group's primary.
+bool usesPrimary(const host &State, const group_state &Group) {
+  for (const auto &[Number, Connection] : State.Connections) {
+    const bool Uses = Connection.Phase == connection_phase::Running ||
+                      Connection.Phase == connection_phase::Preparing ||
+                      Connection.Phase == connection_phase::Resting;
+    if (Uses && Connection.Target == Group.Record->Primary &&
+        (Connection.Request != 0 || Connection.Session != 0))
+      return true;
+  }
+  return false;
+}
+
+/// Ends what still uses a primary that is being replaced.
+void endPrimaryUse(step_context &Step, const std::string &Primary) {
+  std::vector<connection_number> Numbers;
+  for (const auto &[Number, Connection] : Step.State.Connections)
+    if (Connection.Target == Primary &&
+        Connection.Phase != connection_phase::Dialling &&
+        Connection.Phase != connection_phase::Idle)
+      Numbers.push_back(Number);
+  for (const connection_number Number : Numbers) {
+    if (!Step.State.Connections.contains(Number))
+      continue;
+    Step.Out.push_back(effects::close_target{Number});
+    targetLost(Step, Number);
+  }
+}
+
+void acknowledgeClosed(step_context &Step, group_state &Group) {
+  if (!Group.Record || Group.Record->Open ||
+      Group.Acknowledged >= Group.Record->Generation)
+    return;
+  if (usesPrimary(Step.State, Group)) {
+    if (Step.Now < Group.ClosedAt + ClosingSlack)
+      return;
+    endPrimaryUse(Step, Group.Record->Primary);
+  }
+  Group.Acknowledged = Group.Record->Generation;
+}
+
+host_record ownRecord(const host &State) {
+  host_record Record;
+  Record.Peers = State.Identity.Peers;
+  for (const auto &[Name, Group] : State.Groups) {
+    if (Group.Record && !Group.Record->Open && Group.Acknowledged > 0)
+      Record.Acknowledged[Name] = Group.Acknowledged;
+    if (Group.Blind)
+      Record.Blind.insert(Name);
+  }
+  return Record;
+}
+
+void registerHost(step_context &Step) {
+  lease_state &Lease = Step.State.Lease;
+  if (Lease.Lease == 0 || Lease.RegisterCall != 0 ||
+      Step.Now < Lease.NextRegister)
+    return;
+  std::string Value = formatRecord(ownRecord(Step.State));
+  if (Value == Lease.Registered)
+    return;
+  Lease.RegisterCall = nextNumber(Step.State);
+  Lease.RegisterValue = Value;
+  effects::change_records Change;
+  Change.Call = Lease.RegisterCall;
+  Change.Lease = Lease.Lease;
+  Change.Writes.push_back({ownKey(Step.State), std::move(Value), true});
+  Step.Out.push_back(std::move(Change));
+}
+
+void groupChanged(step_context &Step, const std::string &Name,
+                  const store_record &Record) {
+  group_state &Group = Step.State.Groups[Name];
+  auto Parsed = parseGroupRecord(Record.Value);
+  if (!Parsed || Record.Revision <= Group.Revision)
+    return;
+  const bool NewPrimary =
+      !Group.Record || Group.Record->Primary != Parsed->Primary;
+  if (NewPrimary) {
+    Group.Samples.Samples.clear();
+    Group.Blind = false;
+  }
+  if (!Parsed->Open && (!Group.Record || Group.Record->Open))
+    Group.ClosedAt = Step.Now;
+  logLine(Step, "primary.record",
+          {{"group", Name},
+           {"primary", Parsed->Primary},
+           {"generation", std::to_string(Parsed->Generation)},
+           {"open", Parsed->Open ? "true" : "false"}});
+  Group.Record = std::move(Parsed);
+  Group.Revision = Record.Revision;
+  acknowledgeClosed(Step, Group);
+}
+
+void hostChanged(step_context &Step, const std::string &Name,
+                 const store_record &Record) {
+  auto Parsed = parseHostRecord(Record.Value);
+  if (!Parsed)
+    return;
+  const std::size_t Before = Step.State.Hosts.size();
+  Step.State.Hosts[Name] = {std::move(*Parsed), Record.Lease};
+  if (Step.State.Hosts.size() != Before)
+    divideAmongHosts(Step);
+}
+
+void dutyChanged(host &State, const store_record &Record) {
+  State.Duty.Holder = Record.Value;
+  State.Duty.Revision = Record.Revision;
+}
+
+} // namespace
+
+bool mayUsePrimary(const host &State, const std::string &Group, instant Now) {
+  const auto Found = State.Groups.find(Group);
+  return State.Lease.Lease != 0 && State.Lease.GroupsRead &&
+         Now < State.Lease.ValidUntil && Found != State.Groups.end() &&
+         Found->second.Record && Found->second.Record->Open;
+}
+
+void superviseLease(step_context &Step) {
+  lease_state &Lease = Step.State.Lease;
+  for (auto &[Name, Group] : Step.State.Groups)
+    acknowledgeClosed(Step, Group);
+  registerHost(Step);
+  if (Lease.Lease != 0 && !Lease.GroupsRead && !Lease.ReadPending) {
+    Lease.ReadPending = true;
+    Step.Out.push_back(effects::read_records{std::string(GroupsPrefix)});
+  }
+  if (Lease.CallPending || Step.Now < Lease.NextCall)
+    return;
+  Lease.CallPending = true;
+  if (Lease.Lease == 0)
+    Step.Out.push_back(effects::grant_lease{
+        std::max(LeaseLength, Step.State.Identity.MinimumLease)});
+  else
+    Step.Out.push_back(effects::renew_lease{Lease.Lease});
+}
+
+void leaseAnswered(step_context &Step, const events::lease_answered &What) {
+  lease_state &Lease = Step.State.Lease;
+  Lease.CallPending = false;
+  if (!What.Answered) {
+    Lease.NextCall = Step.Now + RetryPause;
+    return;
+  }
+  if (What.Lease == 0) {
+    if (Lease.Lease != 0)
+      loseLease(Step);
+    Lease.NextCall = Step.Now;
+    return;
+  }
+  if (Lease.Lease != What.Lease)
+    logLine(Step, "lease.granted",
+            {{"lease", std::to_string(What.Lease)},
+             {"ms", ageText(Step.Now - What.TimeToLive, Step.Now)}});
+  Lease.Lease = What.Lease;
+  if (What.TimeToLive > duration::zero())
+    Lease.TimeToLive = What.TimeToLive;
+  const auto Usable = duration(static_cast<duration::rep>(
+      static_cast<double>(Lease.TimeToLive.count()) * UsablePart));
+  Lease.ValidUntil = std::max(Lease.ValidUntil, What.SentAt + Usable);
+  Lease.NextCall = What.SentAt + Lease.TimeToLive / RenewalsPerLease;
+}
+
+void recordChanged(step_context &Step, const store_record &Record) {
+  const std::string_view Key = Record.Key;
+  if (Key.starts_with(GroupsPrefix))
+    groupChanged(Step, std::string(Key.substr(GroupsPrefix.size())), Record);
+  else if (Key.starts_with(HostsPrefix))
+    hostChanged(Step, std::string(Key.substr(HostsPrefix.size())), Record);
+  else if (Key == DutyKey)
+    dutyChanged(Step.State, Record);
+}
+
+void recordRemoved(step_context &Step, const std::string &Key) {
+  if (Key.starts_with(HostsPrefix)) {
+    Step.State.Hosts.erase(Key.substr(HostsPrefix.size()));
+    divideAmongHosts(Step);
+  } else if (Key == DutyKey) {
+    Step.State.Duty.Holder.clear();
+  }
+}
+
+void recordsRead(step_context &Step, const events::records_read &What) {
+  lease_state &Lease = Step.State.Lease;
+  if (What.Prefix == GroupsPrefix) {
+    Lease.ReadPending = false;
+    if (!What.Answered)
+      return;
+    for (const store_record &Record : What.Records)
+      recordChanged(Step, Record);
+    Lease.GroupsRead = Lease.Lease != 0;
+    return;
+  }
+  if (What.Prefix != HostsPrefix || !What.Answered)
+    return;
+  Step.State.Hosts.clear();
+  for (const store_record &Record : What.Records)
+    recordChanged(Step, Record);
+  for (auto &[Name, Group] : Step.State.Groups)
+    Group.Promotion.HostsRead = true;
+}
+
+void changeEnded(step_context &Step, const events::change_ended &What) {
+  lease_state &Lease = Step.State.Lease;
+  if (What.Call == Lease.RegisterCall && What.Call != 0) {
+    Lease.RegisterCall = 0;
+    if (What.Outcome == change_outcome::Done)
+      Lease.Registered = Lease.RegisterValue;
+    else if (What.Outcome == change_outcome::LeaseGone)
+      loseLease(Step);
+    else
+      Lease.NextRegister = Step.Now + RetryPause;
+    return;
+  }
+  if (!dutyChangeEnded(Step, What))
+    (void)promotionChangeEnded(Step, What);
+}
+
+void noteReachability(step_context &Step, target_view &Target, bool Answered) {
+  group_state *Group = findIn(Step.State.Groups, Target.Entry.Group);
+  if (Group == nullptr || !Group->Record ||
+      Group->Record->Primary != Target.Entry.Id)
+    return;
+  const duration Failing = Step.Now - Target.FirstDialFailure;
+  const bool Silent = Failing >= SilentDial;
+  const bool Blind =
+      !Answered && Step.Now - Target.AnsweredAt >= BlindAfter &&
+      (Silent || (Target.DialFailures >= BlindFailures && Failing >= BlindAfter));
+  if (Answered == !Group->Blind || (!Answered && !Blind))
+    return;
+  Group->Blind = !Answered;
+  logLine(Step, Answered ? "primary.regained" : "primary.unreached",
+          {{"group", Target.Entry.Group},
+           {"target", Target.Entry.Id},
+           {"failures", std::to_string(Target.DialFailures)}});
+}
+
+} // namespace bronzespar::proxy
--- /dev/null
+++ b/src/proxy/promotion.cpp
@@ -0,0 +1,385 @@
+/// Changes of primary, ordered by the host that holds the duty: close the
+/// group's record, wait for every host, choose the replica that received most,
+/// order, and open the record once it leads.
+#include "parts.hpp"
+
+#include <algorithm>
+
+namespace bronzespar::proxy {
+
+namespace {
+
+/// Replicas answer a probe within this, or are not asked to lead.
+constexpr duration ProbeTime = std::chrono::milliseconds(350);
+constexpr duration ProbePause = std::chrono::milliseconds(40);
+/// A promoted replica leads no sooner than this after the order.
+constexpr duration EarliestLead = std::chrono::milliseconds(300);
+/// Nor later; another order before that could make two primaries.
+constexpr duration LatestLead = std::chrono::milliseconds(3500);
+/// A planned change waits this long for replicas to catch up.
+constexpr duration CatchUp = std::chrono::milliseconds(1500);
+/// No replica answers for this long: the old primary is used again.
+constexpr duration GiveUp = std::chrono::milliseconds(4000);
+/// A host that neither acknowledges nor lets its lease lapse loses it then.
+constexpr duration HoldoutLimit = std::chrono::milliseconds(2500);
+constexpr duration ChangeRetry = std::chrono::milliseconds(200);
+
+void enter(step_context &Step, const std::string &Name, group_state &Group,
+           promotion_stage Stage) {
+  Group.Promotion.Stage = Stage;
+  Group.Promotion.Since = Step.Now;
+  logLine(Step, "promotion.stage",
+          {{"group", Name},
+           {"stage", std::string(enumName(Stage))},
+           {"candidate", Group.Promotion.Candidate},
+           {"ms", ageText(Group.Promotion.Started, Step.Now)}});
+}
+
+std::string groupKey(const std::string &Name) {
+  return std::string(GroupsPrefix) + Name;
+}
+
+void changeRecord(step_context &Step, const std::string &Name,
+                  group_state &Group, group_record Record) {
+  Group.Promotion.Call = nextNumber(Step.State);
+  effects::change_records Change;
+  Change.Call = Group.Promotion.Call;
+  Change.Expected.emplace_back(groupKey(Name), Group.Revision);
+  Change.Writes.push_back({groupKey(Name), formatRecord(Record), false});
+  Step.Out.push_back(std::move(Change));
+}
+
+const target_view *listedPrimary(const host &State, const std::string &Name) {
+  for (const auto &[Id, Target] : State.Targets)
+    if (Target.Listed && Target.Entry.Group == Name && Target.Entry.SaysPrimary)
+      return &Target;
+  return nullptr;
+}
+
+void createRecord(step_context &Step, const std::string &Name,
+                  group_state &Group) {
+  const target_view *Primary = listedPrimary(Step.State, Name);
+  if (Primary == nullptr || Step.Now < Group.Promotion.NextProbe)
+    return;
+  Group.Promotion.NextProbe = Step.Now + ChangeRetry;
+  changeRecord(Step, Name, Group, {1, Primary->Entry.Id, true});
+}
+
+/// Hosts that cannot reach the group's primary.
+std::size_t blindHosts(const host &State, const std::string &Name) {
+  return static_cast<std::size_t>(std::count_if(
+      State.Hosts.begin(), State.Hosts.end(), [&](const auto &Entry) {
+        return Entry.second.Record.Blind.contains(Name);
+      }));
+}
+
+bool mostAreBlind(const host &State, const std::string &Name) {
+  const std::size_t Blind = blindHosts(State, Name);
+  return Blind > 0 && Blind * 2 >= State.Hosts.size();
+}
+
+bool replicaListed(const host &State, const std::string &Name,
+                   const std::string &Primary) {
+  return std::any_of(State.Targets.begin(), State.Targets.end(),
+                     [&](const auto &Entry) {
+                       const target_view &Target = Entry.second;
+                       return Target.Listed && Target.Entry.Group == Name &&
+                              !Target.Entry.Draining && Entry.first != Primary;
+                     });
+}
+
+/// Decides whether a group needs another primary.
+void considerChange(step_context &Step, const std::string &Name,
+                    group_state &Group) {
+  const target_view *Primary =
+      findIn(Step.State.Targets, Group.Record->Primary);
+  const bool Leaving =
+      Primary == nullptr || !Primary->Listed || Primary->Entry.Draining;
+  const bool Lost = mostAreBlind(Step.State, Name);
+  if ((!Leaving && !Lost) ||
+      !replicaListed(Step.State, Name, Group.Record->Primary))
+    return;
+  Group.Promotion = {};
+  Group.Promotion.Planned = !Lost && Primary != nullptr && Primary->Listed;
+  Group.Promotion.Started = Step.Now;
+  logLine(Step, "promotion.begun",
+          {{"group", Name},
+           {"primary", Group.Record->Primary},
+           {"planned", Group.Promotion.Planned ? "true" : "false"},
+           {"blind_hosts", std::to_string(blindHosts(Step.State, Name))},
+           {"hosts", std::to_string(Step.State.Hosts.size())}});
+  enter(Step, Name, Group, promotion_stage::Closing);
+  changeRecord(
+      Step, Name, Group,
+      {Group.Record->Generation + 1, Group.Record->Primary, false});
+}
+
+void beginGathering(step_context &Step, const std::string &Name,
+                    group_state &Group) {
+  Group.Promotion.HostsRead = false;
+  Group.Promotion.Call = 0;
+  Group.Promotion.Statuses.clear();
+  enter(Step, Name, Group, promotion_stage::Gathering);
+  Step.Out.push_back(effects::read_records{std::string(HostsPrefix)});
+  Group.Promotion.NextProbe = Step.Now + ChangeRetry;
+}
+
+void probeMembers(step_context &Step, const std::string &Name,
+                  group_state &Group) {
+  Group.Promotion.Statuses.clear();
+  Group.Promotion.ProbesLeft = 0;
+  for (const auto &[Id, Target] : Step.State.Targets) {
+    if (!Target.Listed || Target.Entry.Group != Name)
+      continue;
+    Group.Promotion.ProbesLeft += 1;
+    Step.Out.push_back(
+        effects::probe_target{Id, Name, Target.Entry.Where});
+  }
+  Group.Promotion.NextProbe = Step.Now + ProbeTime;
+}
+
+/// Waits until no host can use the old primary any more.
+void gather(step_context &Step, const std::string &Name, group_state &Group) {
+  promotion_state &Promotion = Group.Promotion;
+  if (!Promotion.HostsRead) {
+    if (Step.Now < Promotion.NextProbe)
+      return;
+    Promotion.NextProbe = Step.Now + ChangeRetry;
+    Step.Out.push_back(effects::read_records{std::string(HostsPrefix)});
+    return;
+  }
+  bool AllStopped = true;
+  for (const auto &[Host, Peer] : Step.State.Hosts) {
+    const auto Stopped = Peer.Record.Acknowledged.find(Name);
+    if (Stopped != Peer.Record.Acknowledged.end() &&
+        Stopped->second >= Group.Record->Generation)
+      continue;
+    AllStopped = false;
+    if (Step.Now < Promotion.Since + HoldoutLimit ||
+        Promotion.LeaseEnded.contains(Host))
+      continue;
+    Promotion.LeaseEnded.insert(Host);
+    Step.Out.push_back(effects::end_lease{Peer.Lease});
+    Promotion.NotBefore = Step.Now + Step.State.Lease.TimeToLive;
+    logLine(Step, "promotion.holdout", {{"group", Name}, {"host", Host}});
+  }
+  if (!AllStopped || Step.Now < Promotion.NotBefore)
+    return;
+  enter(Step, Name, Group, promotion_stage::Choosing);
+  probeMembers(Step, Name, Group);
+}
+
+void openRecord(step_context &Step, const std::string &Name, group_state &Group,
+                const std::string &Primary) {
+  Group.Promotion.Candidate = Primary;
+  enter(Step, Name, Group, promotion_stage::Opening);
+  changeRecord(Step, Name, Group,
+               {Group.Record->Generation + 1, Primary, true});
+}
+
+void orderPromotion(step_context &Step, const std::string &Name,
+                    group_state &Group, const std::string &Candidate) {
+  Group.Promotion.Candidate = Candidate;
+  enter(Step, Name, Group, promotion_stage::Ordered);
+  Group.Promotion.NextProbe = Step.Now + EarliestLead;
+  Step.Out.push_back(effects::order_promotion{Name, Candidate,
+                                              Step.State.Identity.Name,
+                                              Step.State.Duty.Token});
+}
+
+/// The replica that received most, of those that may lead.
+const std::pair<const std::string, target_status> *
+bestReplica(const host &State, const group_state &Group) {
+  const std::pair<const std::string, target_status> *Best = nullptr;
+  for (const auto &Entry : Group.Promotion.Statuses) {
+    const auto Target = State.Targets.find(Entry.first);
+    if (Entry.first == Group.Record->Primary ||
+        Target == State.Targets.end() || Target->second.Entry.Draining ||
+        Group.Promotion.Refused.contains(Entry.first))
+      continue;
+    if (Best == nullptr || Entry.second.Received > Best->second.Received)
+      Best = &Entry;
+  }
+  return Best;
+}
+
+void choose(step_context &Step, const std::string &Name, group_state &Group) {
+  promotion_state &Promotion = Group.Promotion;
+  if (Promotion.ProbesLeft > 0 && Step.Now < Promotion.NextProbe)
+    return;
+  const auto &OldName = Group.Record->Primary;
+  for (const auto &[Id, Status] : Promotion.Statuses) {
+    if (Id == OldName || !Status.IsPrimary)
+      continue;
+    // An earlier order took effect.
+    openRecord(Step, Name, Group, Id);
+    return;
+  }
+  const auto Old = Promotion.Statuses.find(OldName);
+  const bool OldAnswers =
+      Old != Promotion.Statuses.end() && Old->second.IsPrimary;
+  const auto *Best = bestReplica(Step.State, Group);
+  const bool Behind = OldAnswers && Best != nullptr &&
+                      Best->second.Received < Old->second.Received;
+  if (Best == nullptr) {
+    if (Step.Now > Promotion.Since + GiveUp)
+      openRecord(Step, Name, Group, OldName);
+    else if (Step.Now >= Promotion.NextProbe)
+      probeMembers(Step, Name, Group);
+    return;
+  }
+  if (Behind && Step.Now < Promotion.Since + CatchUp) {
+    if (Step.Now >= Promotion.NextProbe - ProbeTime + ProbePause)
+      probeMembers(Step, Name, Group);
+    return;
+  }
+  if (!holdsDuty(Step.State, Step.Now) || Step.Now < Step.State.Duty.ActAfter)
+    return;
+  orderPromotion(Step, Name, Group, Best->first);
+}
+
+void awaitLead(step_context &Step, const std::string &Name,
+               group_state &Group) {
+  promotion_state &Promotion = Group.Promotion;
+  const target_status *Status =
+      findIn(Promotion.Statuses, Promotion.Candidate);
+  if (Status != nullptr && Status->IsPrimary &&
+      Step.Now >= Promotion.Since + EarliestLead) {
+    openRecord(Step, Name, Group, Promotion.Candidate);
+    return;
+  }
+  if (Step.Now > Promotion.Since + LatestLead) {
+    enter(Step, Name, Group, promotion_stage::Choosing);
+    probeMembers(Step, Name, Group);
+    return;
+  }
+  if (Step.Now < Promotion.NextProbe)
+    return;
+  const target_view *Target =
+      findIn(Step.State.Targets, Promotion.Candidate);
+  Promotion.NextProbe = Step.Now + ProbePause;
+  if (Target == nullptr)
+    return;
+  Promotion.Statuses.erase(Promotion.Candidate);
+  Step.Out.push_back(
+      effects::probe_target{Promotion.Candidate, Name, Target->Entry.Where});
+}
+
+void superviseGroup(step_context &Step, const std::string &Name,
+                    group_state &Group) {
+  promotion_state &Promotion = Group.Promotion;
+  if (!Group.Record) {
+    if (Promotion.Call == 0)
+      createRecord(Step, Name, Group);
+    return;
+  }
+  switch (Promotion.Stage) {
+  case promotion_stage::None:
+    if (!Group.Record->Open) {
+      // A former holder left the record closed.
+      Promotion = {};
+      Promotion.Started = Step.Now;
+      beginGathering(Step, Name, Group);
+    } else {
+      considerChange(Step, Name, Group);
+    }
+    return;
+  case promotion_stage::Closing:
+  case promotion_stage::Opening:
+    return;
+  case promotion_stage::Gathering:
+    gather(Step, Name, Group);
+    return;
+  case promotion_stage::Choosing:
+    choose(Step, Name, Group);
+    return;
+  case promotion_stage::Ordered:
+    awaitLead(Step, Name, Group);
+    return;
+  }
+}
+
+/// Takes over what the store says after a change succeeded.
+void applyOwn(step_context &Step, const std::string &Name,
+              const std::string &Value, std::uint64_t Revision) {
+  recordChanged(Step, {groupKey(Name), Value, Revision, 0});
+}
+
+} // namespace
+
+void supervisePromotions(step_context &Step) {
+  if (!Step.State.Settings || !holdsDuty(Step.State, Step.Now)) {
+    for (auto &[Name, Group] : Step.State.Groups)
+      if (!Step.State.Duty.Held &&
+          Group.Promotion.Stage != promotion_stage::None)
+        Group.Promotion = {};
+    return;
+  }
+  for (auto &[Name, Group] : Step.State.Groups)
+    if (Step.State.Settings->Groups.contains(Name))
+      superviseGroup(Step, Name, Group);
+}
+
+bool promotionChangeEnded(step_context &Step,
+                          const events::change_ended &What) {
+  for (auto &[Name, Group] : Step.State.Groups) {
+    promotion_state &Promotion = Group.Promotion;
+    if (What.Call == 0 || Promotion.Call != What.Call)
+      continue;
+    Promotion.Call = 0;
+    const bool Done = What.Outcome == change_outcome::Done;
+    if (!Group.Record) {
+      if (const target_view *Primary = listedPrimary(Step.State, Name);
+          Done && Primary != nullptr)
+        applyOwn(Step, Name, formatRecord({1, Primary->Entry.Id, true}),
+                 What.Revision);
+      return true;
+    }
+    const bool Closing = Promotion.Stage == promotion_stage::Closing;
+    if (!Done) {
+      // The record as it is now comes by the watch; the stage is found anew.
+      Promotion = {};
+      return true;
+    }
+    const group_record Next{
+        Group.Record->Generation + 1,
+        Closing ? Group.Record->Primary : Promotion.Candidate, !Closing};
+    applyOwn(Step, Name, formatRecord(Next), What.Revision);
+    if (Closing)
+      beginGathering(Step, Name, Group);
+    else
+      enter(Step, Name, Group, promotion_stage::None);
+    return true;
+  }
+  return false;
+}
+
+void targetProbed(step_context &Step, const events::target_probed &What) {
+  for (auto &[Name, Group] : Step.State.Groups) {
+    const target_view *Target = findIn(Step.State.Targets, What.Target);
+    if (Target == nullptr || Target->Entry.Group != Name)
+      continue;
+    if (Group.Promotion.ProbesLeft > 0)
+      Group.Promotion.ProbesLeft -= 1;
+    if (What.Status)
+      Group.Promotion.Statuses[What.Target] = *What.Status;
+  }
+}
+
+void promotionAnswered(step_context &Step,
+                       const events::promotion_answered &What) {
+  group_state *Group = findIn(Step.State.Groups, What.Group);
+  if (Group == nullptr || Group->Promotion.Stage != promotion_stage::Ordered)
+    return;
+  logLine(Step, "promotion.answered",
+          {{"group", What.Group},
+           {"candidate", Group->Promotion.Candidate},
+           {"accepted", What.Accepted ? "true" : "false"}});
+  if (What.Accepted)
+    return;
+  Group->Promotion.Refused.insert(Group->Promotion.Candidate);
+  enter(Step, What.Group, *Group, promotion_stage::Choosing);
+  probeMembers(Step, What.Group, *Group);
+}
+
+} // namespace bronzespar::proxy
--- /dev/null
+++ b/src/proxy/records.cpp
@@ -0,0 +1,85 @@
+/// JSON of the project's records.
+#include "records.hpp"
+
+#include <boost/json.hpp>
+
+namespace bronzespar::proxy {
+
+namespace {
+
+namespace json = boost::json;
+
+std::optional<json::object> parseObject(std::string_view Text) {
+  boost::system::error_code Error;
+  json::value Value = json::parse({Text.data(), Text.size()}, Error);
+  if (Error || !Value.is_object())
+    return std::nullopt;
+  return std::move(Value.as_object());
+}
+
+std::optional<std::uint64_t> numberOf(const json::value *Value) {
+  if (Value == nullptr)
+    return std::nullopt;
+  boost::system::error_code Error;
+  const auto Number = Value->to_number<std::uint64_t>(Error);
+  if (Error)
+    return std::nullopt;
+  return Number;
+}
+
+} // namespace
+
+std::string formatRecord(const group_record &Record) {
+  return json::serialize(json::object{{"generation", Record.Generation},
+                                      {"primary", Record.Primary},
+                                      {"open", Record.Open}});
+}
+
+std::string formatRecord(const host_record &Record) {
+  json::object Acknowledged;
+  for (const auto &[Group, Generation] : Record.Acknowledged)
+    Acknowledged[Group] = Generation;
+  json::array Blind;
+  for (const std::string &Group : Record.Blind)
+    Blind.emplace_back(Group);
+  return json::serialize(json::object{{"peers", toText(Record.Peers)},
+                                      {"acknowledged", Acknowledged},
+                                      {"blind", Blind}});
+}
+
+std::optional<group_record> parseGroupRecord(std::string_view Text) {
+  const auto Object = parseObject(Text);
+  if (!Object)
+    return std::nullopt;
+  const auto Generation = numberOf(Object->if_contains("generation"));
+  const json::value *Primary = Object->if_contains("primary");
+  const json::value *Open = Object->if_contains("open");
+  if (!Generation || Primary == nullptr || !Primary->is_string() ||
+      Open == nullptr || !Open->is_bool())
+    return std::nullopt;
+  return group_record{*Generation, std::string(Primary->as_string()),
+                      Open->as_bool()};
+}
+
+std::optional<host_record> parseHostRecord(std::string_view Text) {
+  const auto Object = parseObject(Text);
+  const json::value *Peers = Object ? Object->if_contains("peers") : nullptr;
+  if (Peers == nullptr || !Peers->is_string())
+    return std::nullopt;
+  host_record Record;
+  if (const auto Where = parseEndpoint(std::string_view(Peers->as_string())))
+    Record.Peers = *Where;
+  if (const json::value *Map = Object->if_contains("acknowledged");
+      Map != nullptr && Map->is_object())
+    for (const auto &Entry : Map->as_object())
+      if (const auto Generation = numberOf(&Entry.value()))
+        Record.Acknowledged[std::string(Entry.key())] = *Generation;
+  if (const json::value *List = Object->if_contains("blind");
+      List != nullptr && List->is_array())
+    for (const json::value &Group : List->as_array())
+      if (Group.is_string())
+        Record.Blind.emplace(std::string_view(Group.as_string()));
+  return Record;
+}
+
+} // namespace bronzespar::proxy
--- /dev/null
+++ b/src/proxy/records.hpp
@@ -0,0 +1,41 @@
+/// The project's own records in the platform's store.
+#pragma once
+
+#include <bronzespar/endpoint.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace bronzespar::proxy {
+
+/// Prefixes and keys below the project's own prefix.
+inline constexpr std::string_view HostsPrefix = "hosts/";
+inline constexpr std::string_view GroupsPrefix = "groups/";
+inline constexpr std::string_view DutyKey = "duty";
+
+/// \brief Which target leads a group, and whether it may be used.
+struct group_record {
+  std::uint64_t Generation = 0; ///< Grows with each change.
+  std::string Primary;
+  bool Open = true; ///< False: no host may use the primary.
+};
+
+/// \brief A live host; its record ends with its lease.
+struct host_record {
+  endpoint Peers;
+  /// Closed generations for which the host has stopped using the primary.
+  std::map<std::string, std::uint64_t> Acknowledged;
+  std::set<std::string> Blind; ///< Groups whose primary it cannot reach.
+};
+
+[[nodiscard]] std::string formatRecord(const group_record &Record);
+[[nodiscard]] std::string formatRecord(const host_record &Record);
+[[nodiscard]] std::optional<group_record>
+parseGroupRecord(std::string_view Text);
+[[nodiscard]] std::optional<host_record> parseHostRecord(std::string_view Text);
+
+} // namespace bronzespar::proxy
--- /dev/null
+++ b/src/proxy/requests.cpp
@@ -0,0 +1,355 @@
+/// Life of a statement that needs a target: deadlines, outcomes, repetition.
+/// A read is repeated elsewhere while time is left; a statement that may write
+/// is sent once, unless a target promised that it was not run.
+#include "parts.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace bronzespar::proxy {
+
+namespace {
+
+/// A statement is tried at most this often; more would feed an overload.
+constexpr unsigned MaxAttempts = 4;
+/// A read is asked a second time after this many usual latencies.
+constexpr double OverdueLatencies = 5;
+/// Nor before this: short pauses of a target are usual.
+constexpr duration LeastOverdue = std::chrono::milliseconds(150);
+/// Usual time to wait before asking again after a refusal.
+constexpr duration RetryHint = std::chrono::milliseconds(100);
+
+caller_session *sessionOf(step_context &Step, const target_request &Request) {
+  return findIn(Step.State.Sessions, Request.Session);
+}
+
+void releaseConnections(step_context &Step, target_request &Request) {
+  for (connection_number *Slot : {&Request.Connection, &Request.Hedge}) {
+    if (auto *Connection = findIn(Step.State.Connections, *Slot))
+      if (Connection->Request == Request.Number)
+        Connection->Request = 0;
+    *Slot = 0;
+  }
+  if (Request.Rank)
+    withdraw(Step.State.Waiting, *Request.Rank);
+  Request.Rank.reset();
+}
+
+void waitAgain(step_context &Step, target_request &Request) {
+  Request.Connection = 0;
+  Request.Rank = enqueue(Step.State.Waiting, Request.Number, Request.Account,
+                         Request.Route.Priority, 1);
+}
+
+void failWith(step_context &Step, target_request &Request, answer_code Code,
+              std::string Text) {
+  answer Answer;
+  Answer.Code = Code;
+  Answer.Text = std::move(Text);
+  finishRequest(Step, Request, std::move(Answer));
+}
+
+/// What a caller is told whose transaction cannot go on.
+answer_code lostInTransaction(const target_request &Request,
+                              const caller_session *Session) {
+  const bool Commits = Request.Statement.Kind == statement_kind::Commit;
+  const bool Wrote =
+      Session != nullptr && Session->Transaction && Session->Transaction->Wrote;
+  return Commits && Wrote ? answer_code::InDoubt : answer_code::Aborted;
+}
+
+bool isFirstOfTransaction(const caller_session *Session) {
+  return Session != nullptr && Session->Transaction &&
+         Session->Transaction->Statements == 0;
+}
+
+/// Takes the answer of a statement that a target completed.
+void complete(step_context &Step, target_request &Request,
+              target_connection &Connection, answer &&Answer) {
+  caller_session *Session = sessionOf(Step, Request);
+  const bool Commits = Request.Statement.Kind == statement_kind::Commit;
+  if (Session != nullptr && Session->Transaction) {
+    Session->Transaction->Statements += 1;
+    Session->Transaction->LastUse = Step.Now;
+    const bool Wrote = Session->Transaction->Wrote;
+    if (Commits) {
+      Session->Transaction.reset();
+      Session->Phase = session_phase::Idle;
+      if (Wrote && Answer.Position) {
+        Session->Written = std::max(Session->Written, Answer.Position);
+        Session->WrittenAt = Step.Now;
+      }
+    }
+  } else if (Session != nullptr && Request.Writes && Answer.Position) {
+    Session->Written = std::max(Session->Written, Answer.Position);
+    Session->WrittenAt = Step.Now;
+  }
+  (void)Connection;
+  finishRequest(Step, Request, std::move(Answer));
+}
+
+/// The transaction ends with this error; the target keeps nothing of it.
+void failInTransaction(step_context &Step, target_request &Request,
+                       answer_code Code, std::string Text) {
+  caller_session *Session = sessionOf(Step, Request);
+  const bool Commits = Request.Statement.Kind == statement_kind::Commit;
+  if (Session != nullptr && Session->Transaction) {
+    failTransaction(Step, *Session);
+    if (Commits)
+      Session->Phase = session_phase::Idle;
+  }
+  failWith(Step, Request, Code, std::move(Text));
+}
+
+void logOutcome(step_context &Step, const target_request &Request,
+                const answer &Answer, const std::string &Target) {
+  const std::string_view Event = Answer.Code == answer_code::Complete
+                                     ? "statement.served"
+                                     : "statement.failed";
+  logLine(Step, Event,
+          {{"request", Request.Id},
+           {"code", std::string(enumName(Answer.Code))},
+           {"kind", std::string(enumName(Request.Statement.Kind))},
+           {"account", Request.Account},
+           {"group", Request.Route.Group},
+           {"target", Target},
+           {"attempts", std::to_string(Request.Attempts)},
+           {"ms", ageText(Request.ArrivedAt, Step.Now)},
+           {"cause", Answer.Code == answer_code::Complete ? "" : Answer.Text},
+           {"settings", std::to_string(Step.State.Settings->Version)}});
+}
+
+} // namespace
+
+void startRequest(step_context &Step, caller_session &Session, std::string Id,
+                  statement Statement) {
+  host &State = Step.State;
+  target_request Request;
+  Request.Number = nextNumber(State);
+  Request.Session = Session.Number;
+  Request.Id = std::move(Id);
+  Request.Account = Session.Account;
+  Request.InTransaction = Session.Transaction.has_value();
+  Request.Route = Session.Transaction
+                      ? Session.Transaction->Route
+                      : State.Settings->Routes.at(Session.Database);
+  Request.ArrivedAt = Step.Now;
+  Request.Deadline = Step.Now + Request.Route.Timeout;
+  Request.Writes = Statement.Writes;
+  if (Statement.Kind == statement_kind::Execute) {
+    const prepared_shape *Shape = findIn(Session.Prepared, Statement.Name);
+    if (Shape == nullptr) {
+      answer Answer;
+      Answer.Code = answer_code::UnknownName;
+      Answer.Text = Statement.Name;
+      if (Session.Transaction)
+        failTransaction(Step, Session);
+      Answer.Phase = Session.Phase;
+      Step.Out.push_back(
+          effects::answer_caller{Session.Number, std::move(Answer)});
+      return;
+    }
+    Request.Writes = Shape->Writes;
+  }
+  const bool ReadOnly =
+      Session.Transaction ? Session.Transaction->ReadOnly : !Request.Writes;
+  Request.NeedsPrimary =
+      Request.Route.Rule == read_rule::Primary || !ReadOnly;
+  Request.Statement = std::move(Statement);
+  Session.Request = Request.Number;
+  target_request &Stored =
+      State.Requests.emplace(Request.Number, std::move(Request)).first->second;
+  const connection_number Pinned =
+      Session.Transaction ? Session.Transaction->Connection : 0;
+  if (Pinned != 0) {
+    if (auto *Connection = findIn(State.Connections, Pinned))
+      continueTransaction(Step, *Connection, Stored);
+    else
+      failInTransaction(Step, Stored, answer_code::Aborted,
+                        "the connection of the transaction was lost");
+    return;
+  }
+  waitAgain(Step, Stored);
+}
+
+void finishRequest(step_context &Step, target_request &Request,
+                   answer Answer) {
+  const target_connection *Connection =
+      findIn(Step.State.Connections, Request.Connection);
+  logOutcome(Step, Request, Answer,
+             Connection == nullptr ? std::string() : Connection->Target);
+  Step.Out.push_back(effects::record_outcome{
+      enumName(Request.Route.Rule), Request.Account, Answer.Code,
+      Step.Now - Request.ArrivedAt});
+  if (Request.TokenTaken && isNotRun(Answer.Code) &&
+      isNotRun(Request.LastCode))
+    returnToken(Step.State.Allowances, Request.Account);
+  releaseConnections(Step, Request);
+  caller_session *Session = sessionOf(Step, Request);
+  Step.State.Requests.erase(Request.Number);
+  if (Session == nullptr)
+    return;
+  Session->Request = 0;
+  Answer.Phase = Session->Phase;
+  Step.Out.push_back(
+      effects::answer_caller{Session->Number, std::move(Answer)});
+  drainBacklog(Step, *Session);
+}
+
+void attemptFailed(step_context &Step, target_request &Request,
+                   answer_code Code, bool NotRun) {
+  caller_session *Session = sessionOf(Step, Request);
+  Request.LastCode = Code;
+  const bool CanRepeat =
+      NotRun || (!Request.InTransaction && !Request.Writes);
+  const bool Alone = !Request.InTransaction || isFirstOfTransaction(Session);
+  if (Session == nullptr) {
+    releaseConnections(Step, Request);
+    Step.State.Requests.erase(Request.Number);
+    return;
+  }
+  if (CanRepeat && Alone && Request.Attempts < MaxAttempts &&
+      Step.Now < Request.Deadline) {
+    if (Request.InTransaction && Session->Transaction) {
+      if (auto *Pinned = findIn(Step.State.Connections,
+                                Session->Transaction->Connection))
+        endOnTarget(Step, *Pinned);
+      Session->Transaction->Connection = 0;
+    }
+    waitAgain(Step, Request);
+    return;
+  }
+  const std::string Text(enumName(Code));
+  if (Request.InTransaction) {
+    const answer_code Told =
+        NotRun ? answer_code::Aborted : lostInTransaction(Request, Session);
+    failInTransaction(Step, Request, Told, Text);
+    return;
+  }
+  if (NotRun) {
+    const answer_code Told =
+        Code == answer_code::UnknownName ? answer_code::Busy : Code;
+    failWith(Step, Request, Told, Text);
+    return;
+  }
+  const bool Failed = Code == answer_code::Failed;
+  failWith(Step, Request,
+           Request.Writes ? (Failed ? Code : answer_code::InDoubt)
+                          : answer_code::Failed,
+           Text);
+}
+
+void requestAnswered(step_context &Step, target_connection &Connection,
+                     answer &&Answer) {
+  target_request *Request = findIn(Step.State.Requests, Connection.Request);
+  if (Request == nullptr)
+    return;
+  // An earlier attempt may answer while another one waits or runs.
+  if (Request->Connection != Connection.Number) {
+    Request->Hedge = 0;
+    if (Answer.Code != answer_code::Complete)
+      return;
+    if (auto *Other = findIn(Step.State.Connections, Request->Connection))
+      Other->Request = 0;
+    Request->Connection = Connection.Number;
+  }
+  if (Answer.Code == answer_code::Complete) {
+    complete(Step, *Request, Connection, std::move(Answer));
+    return;
+  }
+  if (auto *Target = findIn(Step.State.Targets, Connection.Target))
+    Request->Avoid.insert(Target->Entry.Id);
+  const bool Repeats =
+      isNotRun(Answer.Code) ||
+      (Answer.Code == answer_code::Failed && !Request->Writes);
+  if (Repeats || Request->InTransaction) {
+    attemptFailed(Step, *Request, Answer.Code, isNotRun(Answer.Code));
+    return;
+  }
+  failWith(Step, *Request, Answer.Code, Answer.Text);
+}
+
+namespace {
+
+std::string waitCause(step_context &Step, const target_request &Request) {
+  const group_state *Group = findIn(Step.State.Groups, Request.Route.Group);
+  const bool Closed = Group != nullptr && Group->Record && !Group->Record->Open;
+  return std::string(Closed ? "its primary is being replaced"
+                            : "no connection became free in time") +
+         "; retry after " +
+         std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                            RetryHint)
+                            .count()) +
+         " ms";
+}
+
+/// Ends a request whose time is up.
+void expire(step_context &Step, target_request &Request) {
+  if (Request.Rank) {
+    const bool Ran = Request.Hedge != 0 || !isNotRun(Request.LastCode);
+    if (Request.InTransaction)
+      failInTransaction(Step, Request, answer_code::Aborted,
+                        waitCause(Step, Request));
+    else
+      failWith(Step, Request, Ran ? answer_code::TimedOut : answer_code::Busy,
+               waitCause(Step, Request));
+    return;
+  }
+  const connection_number Number = Request.Connection;
+  caller_session *Session = sessionOf(Step, Request);
+  if (Request.InTransaction) {
+    const answer_code Code = lostInTransaction(Request, Session);
+    if (Session != nullptr && Session->Transaction)
+      Session->Transaction->Connection = 0;
+    failInTransaction(Step, Request,
+                      Code == answer_code::InDoubt ? answer_code::TimedOut
+                                                   : Code,
+                      "the target did not answer in time");
+  } else {
+    failWith(Step, Request, answer_code::TimedOut,
+             "the target did not answer in time");
+  }
+  closeConnection(Step, Number);
+}
+
+/// Asks elsewhere for a read whose answer may be lost.
+void hedgeOverdue(step_context &Step, target_request &Request) {
+  const target_connection *Connection =
+      findIn(Step.State.Connections, Request.Connection);
+  if (Connection == nullptr || Request.Hedge != 0 || Request.Writes ||
+      Request.InTransaction || Request.Attempts >= MaxAttempts ||
+      Connection->Phase != connection_phase::Running)
+    return;
+  const target_view *Target = findIn(Step.State.Targets, Connection->Target);
+  if (Target == nullptr)
+    return;
+  const duration Usual(
+      static_cast<duration::rep>(Target->LatencyMs * 1000 * OverdueLatencies));
+  if (Step.Now - Connection->SentAt < std::max(LeastOverdue, Usual))
+    return;
+  logLine(Step, "statement.overdue",
+          {{"request", Request.Id},
+           {"target", Connection->Target},
+           {"ms", ageText(Connection->SentAt, Step.Now)}});
+  Request.Hedge = Request.Connection;
+  if (!Request.NeedsPrimary)
+    Request.Avoid.insert(Connection->Target);
+  waitAgain(Step, Request);
+}
+
+} // namespace
+
+void expireRequests(step_context &Step) {
+  std::vector<request_number> Due;
+  for (auto &[Number, Request] : Step.State.Requests) {
+    if (Step.Now >= Request.Deadline)
+      Due.push_back(Number);
+    else if (!Request.Rank)
+      hedgeOverdue(Step, Request);
+  }
+  for (const request_number Number : Due)
+    if (target_request *Request = findIn(Step.State.Requests, Number))
+      expire(Step, *Request);
+}
+
+} // namespace bronzespar::proxy
--- /dev/null
+++ b/src/proxy/sessions.cpp
@@ -0,0 +1,241 @@
+/// Callers' sessions: values, prepared names, transactions, and the statements
+/// that need no target.
+#include "parts.hpp"
+
+#include <utility>
+
+namespace bronzespar::proxy {
+
+namespace {
+
+/// A caller that sends ahead further than this is refused.
+constexpr std::size_t MaxBacklog = 64;
+/// Account name of callers without a known key, on public routes only.
+constexpr const char *NoAccount = "-";
+
+void replyNow(step_context &Step, const caller_session &Session,
+              answer_code Code, std::string Text = {}) {
+  answer Answer;
+  Answer.Code = Code;
+  Answer.Text = std::move(Text);
+  Answer.Phase = Session.Phase;
+  Step.Out.push_back(
+      effects::answer_caller{Session.Number, std::move(Answer)});
+}
+
+/// Checks route and key by the settings in force.
+/// \returns Complete when the caller may go on.
+answer_code checkAccess(host &State, caller_session &Session) {
+  const session_route *Route =
+      findIn(State.Settings->Routes, Session.Database);
+  if (Session.Transaction)
+    Route = &Session.Transaction->Route;
+  if (Route == nullptr)
+    return answer_code::UnknownDatabase;
+  const std::string *Account = findIn(State.Settings->Keys, Session.Key);
+  if (Account == nullptr && !Route->Public)
+    return answer_code::Denied;
+  if (!Session.Transaction)
+    Session.Account = Account == nullptr ? NoAccount : *Account;
+  return answer_code::Complete;
+}
+
+void beginTransaction(step_context &Step, caller_session &Session,
+                      statement_kind Kind) {
+  if (Session.Transaction) {
+    replyNow(Step, Session, answer_code::Malformed, "a transaction is open");
+    return;
+  }
+  transaction_state Transaction;
+  Transaction.Route = Step.State.Settings->Routes.at(Session.Database);
+  Transaction.ReadOnly = Kind == statement_kind::BeginRead;
+  Transaction.LastUse = Step.Now;
+  Session.Transaction = std::move(Transaction);
+  Session.Phase = session_phase::InTransaction;
+  replyNow(Step, Session, answer_code::Complete);
+}
+
+/// Ends a transaction without a commit.
+void dropTransaction(step_context &Step, caller_session &Session) {
+  if (Session.Transaction && Session.Transaction->Connection != 0)
+    if (auto *Connection =
+            findIn(Step.State.Connections, Session.Transaction->Connection))
+      endOnTarget(Step, *Connection);
+  Session.Transaction.reset();
+}
+
+void endLocally(step_context &Step, caller_session &Session,
+                statement_kind Kind) {
+  const bool WasFailed = Session.Phase == session_phase::Failed;
+  if (!WasFailed && !Session.Transaction) {
+    replyNow(Step, Session, answer_code::Malformed, "no transaction is open");
+    return;
+  }
+  dropTransaction(Step, Session);
+  Session.Phase = session_phase::Idle;
+  if (Kind == statement_kind::Commit)
+    replyNow(Step, Session, answer_code::Aborted, "rolled back");
+  else
+    replyNow(Step, Session, answer_code::Complete);
+}
+
+void prepareShape(step_context &Step, caller_session &Session,
+                  const statement &Statement) {
+  Session.Prepared[Statement.Name] = {Statement.Rest, Statement.Writes};
+  replyNow(Step, Session, answer_code::Complete);
+}
+
+/// Refuses a statement by the settings in force; its transaction ends.
+void refuseAccess(step_context &Step, caller_session &Session,
+                  answer_code Code) {
+  logLine(Step, "access.refused",
+          {{"code", std::string(enumName(Code))},
+           {"database", Session.Database},
+           {"settings", std::to_string(Step.State.Settings->Version)}});
+  if (Session.Transaction)
+    failTransaction(Step, Session);
+  replyNow(Step, Session, Code, "not allowed by the settings in force");
+}
+
+bool needsTarget(statement_kind Kind) noexcept {
+  return Kind == statement_kind::Read || Kind == statement_kind::Write ||
+         Kind == statement_kind::Execute || Kind == statement_kind::Commit;
+}
+
+void handleLocal(step_context &Step, caller_session &Session,
+                 const statement &Statement) {
+  switch (Statement.Kind) {
+  case statement_kind::SetValue:
+    Session.Values[Statement.Name] = Statement.Rest;
+    replyNow(Step, Session, answer_code::Complete);
+    return;
+  case statement_kind::Prepare:
+    prepareShape(Step, Session, Statement);
+    return;
+  case statement_kind::Deallocate:
+    Session.Prepared.erase(Statement.Name);
+    replyNow(Step, Session, answer_code::Complete);
+    return;
+  default:
+    replyNow(Step, Session, answer_code::Malformed, "no such statement");
+  }
+}
+
+void handleStatement(step_context &Step, caller_session &Session,
+                     queued_statement &&What) {
+  const statement_kind Kind = What.Statement.Kind;
+  const bool Ends =
+      Kind == statement_kind::Commit || Kind == statement_kind::Rollback;
+  if (Session.Phase == session_phase::Failed && !Ends) {
+    replyNow(Step, Session, answer_code::Malformed,
+             "the transaction failed; end it first");
+    return;
+  }
+  if (Kind == statement_kind::Rollback ||
+      (Ends && Session.Phase != session_phase::InTransaction)) {
+    endLocally(Step, Session, Kind);
+    return;
+  }
+  const bool Begins =
+      Kind == statement_kind::Begin || Kind == statement_kind::BeginRead;
+  if (!Begins && !needsTarget(Kind)) {
+    handleLocal(Step, Session, What.Statement);
+    return;
+  }
+  if (const answer_code Code = checkAccess(Step.State, Session);
+      Code != answer_code::Complete) {
+    refuseAccess(Step, Session, Code);
+    return;
+  }
+  if (Begins)
+    beginTransaction(Step, Session, Kind);
+  else
+    startRequest(Step, Session, std::move(What.Id), std::move(What.Statement));
+}
+
+} // namespace
+
+void openSession(step_context &Step, events::session_opened &&What) {
+  host &State = Step.State;
+  if (!State.Settings) {
+    Step.Out.push_back(effects::refuse_session{What.Session, answer_code::Busy,
+                                               "the host is starting"});
+    return;
+  }
+  caller_session Session;
+  Session.Number = What.Session;
+  Session.Database = std::move(What.Database);
+  Session.Key = std::move(What.Key);
+  if (const answer_code Code = checkAccess(State, Session);
+      Code != answer_code::Complete) {
+    logLine(Step, "session.refused",
+            {{"code", std::string(enumName(Code))},
+             {"database", Session.Database},
+             {"settings", std::to_string(State.Settings->Version)}});
+    Step.Out.push_back(effects::refuse_session{
+        What.Session, Code, "not allowed by the settings in force"});
+    return;
+  }
+  State.Sessions.emplace(What.Session, std::move(Session));
+  Step.Out.push_back(effects::accept_session{What.Session});
+}
+
+void acceptStatement(step_context &Step, events::statement_arrived &&What) {
+  caller_session *Session = findIn(Step.State.Sessions, What.Session);
+  if (Session == nullptr)
+    return;
+  if (Session->Backlog.size() >= MaxBacklog) {
+    Step.Out.push_back(effects::close_session{What.Session});
+    closeSession(Step, What.Session);
+    return;
+  }
+  Session->Backlog.push_back({std::move(What.Id), std::move(What.Statement)});
+  drainBacklog(Step, *Session);
+}
+
+void drainBacklog(step_context &Step, caller_session &Session) {
+  while (Session.Request == 0 && !Session.Backlog.empty()) {
+    queued_statement Next = std::move(Session.Backlog.front());
+    Session.Backlog.pop_front();
+    handleStatement(Step, Session, std::move(Next));
+  }
+}
+
+void failTransaction(step_context &Step, caller_session &Session) {
+  dropTransaction(Step, Session);
+  Session.Phase = session_phase::Failed;
+}
+
+void closeSession(step_context &Step, session_number Number) {
+  caller_session *Session = findIn(Step.State.Sessions, Number);
+  if (Session == nullptr)
+    return;
+  if (target_request *Request = findIn(Step.State.Requests, Session->Request)) {
+    if (Request->Rank) {
+      withdraw(Step.State.Waiting, *Request->Rank);
+      Step.State.Requests.erase(Request->Number);
+    } else {
+      Request->Session = 0;
+    }
+  } else if (Session->Transaction) {
+    dropTransaction(Step, *Session);
+  }
+  Step.State.Sessions.erase(Number);
+}
+
+void endIdleTransactions(step_context &Step) {
+  if (!Step.State.Settings)
+    return;
+  const duration Longest = Step.State.Settings->TransactionIdle;
+  for (auto &[Number, Session] : Step.State.Sessions) {
+    if (!Session.Transaction || Session.Request != 0 ||
+        Step.Now < Session.Transaction->LastUse + Longest)
+      continue;
+    logLine(Step, "transaction.idle",
+            {{"account", Session.Account},
+             {"idle_ms", ageText(Session.Transaction->LastUse, Step.Now)}});
+    failTransaction(Step, Session);
+  }
+}
+
+} // namespace bronzespar::proxy
--- /dev/null
+++ b/src/proxy/state.hpp
@@ -0,0 +1,244 @@
+/// State of one session host.
+#pragma once
+
+#include <bronzespar/proxy/allowance.hpp>
+#include <bronzespar/proxy/freshness.hpp>
+#include <bronzespar/proxy/host.hpp>
+#include <bronzespar/proxy/waiting_queue.hpp>
+
+#include "records.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bronzespar::proxy {
+
+using request_number = std::uint64_t;
+
+/// \brief A shape that a caller gave a name.
+struct prepared_shape {
+  std::string Shape; ///< With its kind, as it is prepared at targets.
+  bool Writes = false;
+};
+
+struct queued_statement {
+  std::string Id;
+  statement Statement;
+};
+
+/// \brief An open transaction of a session.
+struct transaction_state {
+  session_route Route;      ///< Of its begin; later changes do not apply.
+  bool ReadOnly = false;
+  bool Wrote = false;       ///< A write was sent to a target.
+  unsigned Statements = 0;  ///< Answered by the target.
+  connection_number Connection = 0; ///< 0: no target was needed yet.
+  instant LastUse{};
+};
+
+/// \brief A caller's session.
+/// Invariant: Transaction is empty exactly when Phase is Idle or Failed.
+struct caller_session {
+  session_number Number = 0;
+  std::string Database;
+  std::string Key;
+  std::string Account;
+  std::map<std::string, std::string> Values;
+  std::map<std::string, prepared_shape> Prepared;
+  session_phase Phase = session_phase::Idle;
+  std::optional<transaction_state> Transaction;
+  /// Of the session's last acknowledged commit.
+  std::optional<log_position> Written;
+  instant WrittenAt{};
+  request_number Request = 0; ///< Statement that waits for its answer; 0: none.
+  std::deque<queued_statement> Backlog; ///< Sent before the last was answered.
+};
+
+/// \brief A statement that needs a target.
+/// Invariant: either Rank is set (waiting) or Connection is (with a target).
+struct target_request {
+  request_number Number = 0;
+  session_number Session = 0; ///< 0: the caller has left.
+  std::string Id;
+  statement Statement;
+  session_route Route;
+  std::string Account;
+  bool NeedsPrimary = false;
+  bool Writes = false;     ///< Cannot be sent twice.
+  bool InTransaction = false;
+  instant ArrivedAt{};
+  instant Deadline{};
+  unsigned Attempts = 0;
+  std::set<std::string> Avoid; ///< Targets that did not run it.
+  /// Position that the target must cover; of the latest attempt.
+  std::optional<log_position> NotBefore;
+  std::optional<waiting_rank> Rank;
+  connection_number Connection = 0;
+  connection_number Hedge = 0; ///< Earlier attempt that was not answered yet.
+  bool TokenTaken = false;
+  answer_code LastCode = answer_code::Busy; ///< Of the last attempt.
+};
+
+enum class connection_phase {
+  Dialling,
+  Idle,
+  Preparing, ///< Values, shapes or BEGIN are under way.
+  Running,   ///< A caller's statement is under way.
+  Resting,   ///< Inside a caller's transaction, between statements.
+  Ending     ///< ROLLBACK is under way; nobody waits.
+};
+BOOST_DESCRIBE_ENUM(connection_phase, Dialling, Idle, Preparing, Running,
+                    Resting, Ending)
+
+/// \brief A connection to a target, for one client account.
+struct target_connection {
+  connection_number Number = 0;
+  std::string Target;
+  std::string Group;
+  std::string Account;
+  connection_phase Phase = connection_phase::Dialling;
+  std::map<std::string, std::string> Values; ///< That it holds.
+  std::map<std::string, std::string> Shapes; ///< Shape to its name there.
+  session_number Session = 0;                ///< Whose transaction it is in.
+  request_number Request = 0; ///< 0 while Running: nobody waits any more.
+  unsigned SetupLeft = 0;     ///< Answers to come before the statement.
+  answer_code SetupFault = answer_code::Complete;
+  bool SetupSpoilt = false; ///< Values are not as wanted; not to be used again.
+  bool Opens = false;       ///< The setup begins a transaction.
+  instant SentAt{};
+  instant IdleSince{};
+  instant DialledAt{};
+};
+
+/// \brief What this host knows of a target.
+struct target_view {
+  target_entry Entry;
+  bool Listed = true;
+  bool Absent = false; ///< Not in the latest list; see listing.cpp.
+  double LatencyMs = 8;     ///< Of statements, smoothed.
+  unsigned Connections = 0; ///< Open or dialling.
+  unsigned Running = 0;     ///< Statements under way from here.
+  unsigned DialFailures = 0; ///< Since the last success.
+  instant FirstDialFailure{};
+  instant DialAfter{};
+  instant BusyUntil{};    ///< It refused for lack of room.
+  instant LaggingUntil{}; ///< It lacked a wanted position.
+  duration LagPause = std::chrono::milliseconds(20);
+  log_position Known; ///< Latest position that it showed.
+  instant AnsweredAt{};
+};
+
+enum class promotion_stage {
+  None,
+  Closing,   ///< The record is being closed.
+  Gathering, ///< Hosts acknowledge that they stopped.
+  Choosing,  ///< Replicas are asked for their positions.
+  Ordered,   ///< The platform was told; the replica is to lead.
+  Opening    ///< The record is being opened.
+};
+BOOST_DESCRIBE_ENUM(promotion_stage, None, Closing, Gathering, Choosing, Ordered,
+                    Opening)
+
+/// \brief A change of primary under this host's duty.
+struct promotion_state {
+  promotion_stage Stage = promotion_stage::None;
+  bool Planned = false;
+  instant Since{};   ///< Of the stage.
+  instant Started{}; ///< Of the promotion.
+  instant NextProbe{};
+  unsigned ProbesLeft = 0;
+  call_number Call = 0;
+  bool HostsRead = false; ///< Since the record was closed.
+  std::set<std::string> LeaseEnded; ///< Hosts whose lease this host ended.
+  instant NotBefore{}; ///< Orders wait for leases that this host ended.
+  std::map<std::string, target_status> Statuses;
+  std::set<std::string> Refused; ///< Candidates that the platform refused.
+  std::string Candidate;
+};
+
+struct group_state {
+  std::optional<group_record> Record;
+  std::uint64_t Revision = 0; ///< Of the record.
+  freshness_samples Samples;
+  promotion_state Promotion;
+  bool Blind = false;       ///< This host cannot reach the primary.
+  std::uint64_t Acknowledged = 0; ///< Closed generation this host stopped for.
+  instant ClosedAt{};       ///< When this host learnt that it was closed.
+  call_number CreateCall = 0;
+};
+
+struct lease_state {
+  std::uint64_t Lease = 0;
+  instant ValidUntil{}; ///< Primaries may be used until then.
+  duration TimeToLive{};
+  instant NextCall{};
+  bool CallPending = false;
+  bool GroupsRead = false; ///< Since the lease was granted.
+  bool ReadPending = false;
+  std::string Registered; ///< Value of the host's record under this lease.
+  call_number RegisterCall = 0;
+  std::string RegisterValue;
+  instant NextRegister{};
+};
+
+struct duty_state {
+  std::string Holder; ///< Empty: nobody.
+  std::uint64_t Revision = 0;
+  bool Held = false;
+  std::uint64_t Token = 0;
+  instant ActAfter{}; ///< Orders of an earlier holder have arrived by then.
+  call_number ClaimCall = 0;
+  instant NextClaim{};
+};
+
+struct listed_peer {
+  host_record Record;
+  std::uint64_t Lease = 0;
+};
+
+struct host {
+  host_identity Identity;
+  std::optional<proxy_settings> Settings;
+  bool TargetsKnown = false;
+  std::map<session_number, caller_session> Sessions;
+  std::map<request_number, target_request> Requests;
+  std::map<connection_number, target_connection> Connections;
+  std::map<std::string, target_view> Targets; ///< By id.
+  std::map<std::string, group_state> Groups;
+  std::map<std::string, listed_peer> Hosts; ///< By name, this one included.
+  waiting_queue Waiting;
+  allowance_table Allowances;
+  lease_state Lease;
+  duty_state Duty;
+  bool StoreReached = false;
+  instant KeepAbsentUntil{}; ///< Lapsed targets may yet come back.
+  bool Ready = false;
+  bool Stopping = false;
+  instant StoppedAt{};
+  instant HostsGrewAt{};
+  instant NextAskRound{};
+  std::uint64_t LastNumber = 0;
+};
+
+/// \brief Everything that one step works on.
+struct step_context {
+  host &State;
+  instant Now;
+  effect_list &Out;
+};
+
+[[nodiscard]] inline std::uint64_t nextNumber(host &State) noexcept {
+  return ++State.LastNumber;
+}
+
+template <class Map, class Key>
+[[nodiscard]] auto *findIn(Map &Where, const Key &What) {
+  const auto Found = Where.find(What);
+  return Found == Where.end() ? nullptr : &Found->second;
+}
+
+} // namespace bronzespar::proxy
--- /dev/null
+++ b/src/proxy/stopping.cpp
@@ -0,0 +1,92 @@
+/// Readiness, and the way to a graceful end.
+#include "parts.hpp"
+
+namespace bronzespar::proxy {
+
+namespace {
+
+/// The balancer has left this host after two checks that failed.
+constexpr duration BalancerLeaves = std::chrono::milliseconds(2300);
+/// Left for answers that are under way when the grace period ends.
+constexpr duration LastAnswers = std::chrono::milliseconds(700);
+
+bool isResting(const caller_session &Session) {
+  return Session.Request == 0 && Session.Phase == session_phase::Idle &&
+         !Session.Transaction;
+}
+
+void closeResting(step_context &Step) {
+  std::vector<session_number> Numbers;
+  for (const auto &[Number, Session] : Step.State.Sessions)
+    if (isResting(Session))
+      Numbers.push_back(Number);
+  for (const session_number Number : Numbers) {
+    Step.Out.push_back(effects::close_session{Number});
+    closeSession(Step, Number);
+  }
+}
+
+/// Ends open transactions; their callers hear it with their next statement.
+void abortTransactions(step_context &Step) {
+  for (auto &[Number, Session] : Step.State.Sessions)
+    if (Session.Transaction && Session.Request == 0)
+      failTransaction(Step, Session);
+}
+
+} // namespace
+
+void requestStop(step_context &Step) {
+  host &State = Step.State;
+  if (State.Stopping)
+    return;
+  State.Stopping = true;
+  State.StoppedAt = Step.Now;
+  logLine(Step, "host.stopping",
+          {{"sessions", std::to_string(State.Sessions.size())}});
+  if (State.Duty.Held) {
+    effects::change_records Change;
+    Change.Call = nextNumber(State);
+    Change.Expected.emplace_back(std::string(DutyKey), State.Duty.Token);
+    Change.Deletes.emplace_back(DutyKey);
+    Step.Out.push_back(std::move(Change));
+    State.Duty.Held = false;
+    logLine(Step, "duty.returned", {{"token", std::to_string(State.Duty.Token)}});
+  }
+}
+
+void superviseStop(step_context &Step) {
+  host &State = Step.State;
+  if (!State.Stopping)
+    return;
+  const duration Spent = Step.Now - State.StoppedAt;
+  if (Spent < BalancerLeaves)
+    return;
+  closeResting(Step);
+  if (Spent >= State.Identity.GracePeriod / 2)
+    abortTransactions(Step);
+  if (!State.Sessions.empty() &&
+      Spent < State.Identity.GracePeriod - LastAnswers)
+    return;
+  if (State.Lease.Lease != 0)
+    Step.Out.push_back(effects::end_lease{State.Lease.Lease});
+  logLine(Step, "host.stopped",
+          {{"sessions", std::to_string(State.Sessions.size())}});
+  Step.Out.push_back(effects::stop_process{});
+}
+
+void updateReadiness(step_context &Step) {
+  host &State = Step.State;
+  bool Ready = State.Settings.has_value() && State.TargetsKnown &&
+               !State.Stopping && !State.Groups.empty();
+  // Once ready, a host without a lease still serves reads that may be old.
+  if (!State.Ready)
+    for (const auto &[Name, Group] : State.Groups)
+      Ready = Ready && Group.Record.has_value();
+  if (Ready == State.Ready)
+    return;
+  State.Ready = Ready;
+  logLine(Step, "host.ready", {{"ready", Ready ? "true" : "false"}});
+  Step.Out.push_back(effects::set_ready{Ready});
+}
+
+} // namespace bronzespar::proxy
--- /dev/null
+++ b/src/serve/callers.cpp
@@ -0,0 +1,129 @@
+/// Callers' connections.
+#include "callers.hpp"
+
+#include <utility>
+
+namespace bronzespar::serve {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+/// A caller that says nothing for this long holds a descriptor for nothing.
+constexpr duration StartupLimit = std::chrono::seconds(10);
+
+} // namespace
+
+caller_listener::caller_listener(boost::asio::io_context &Io,
+                                 const endpoint &Where, event_sink Sink)
+    : Acceptor(Io, toAsio(Where), true), Events(std::move(Sink)) {}
+
+void caller_listener::start() { accept(); }
+
+void caller_listener::accept() {
+  Acceptor.async_accept(
+      [this](boost::system::error_code Failed, tcp::socket Socket) {
+        if (!Acceptor.is_open())
+          return;
+        if (!Failed)
+          adopt(std::move(Socket));
+        accept();
+      });
+}
+
+void caller_listener::adopt(tcp::socket Socket) {
+  const proxy::session_number Number = ++LastNumber;
+  auto Line = std::make_shared<line_socket>(std::move(Socket));
+  Sessions[Number] = {Line, bootNow(), false};
+  Line->start(
+      [this, Number](std::string_view Text) {
+        return lineArrived(Number, Text);
+      },
+      [this, Number] { ended(Number); });
+}
+
+bool caller_listener::lineArrived(proxy::session_number Number,
+                                  std::string_view Line) {
+  const auto Found = Sessions.find(Number);
+  if (Found == Sessions.end())
+    return false;
+  using platform::caller_message_kind;
+  platform::caller_message Message = platform::parseCallerLine(Line);
+  const bool IsStartup = Message.Kind == caller_message_kind::Startup;
+  if (Message.Kind == caller_message_kind::Terminate) {
+    ended(Number);
+    return false;
+  }
+  if (Message.Kind == caller_message_kind::Invalid ||
+      IsStartup == Found->second.Started) {
+    const bool Started = Found->second.Started;
+    drop(Number, platform::formatRefusal(proxy::answer_code::Malformed,
+                                         "no such message here"));
+    if (Started)
+      Events(proxy::events::session_closed{Number});
+    return false;
+  }
+  if (IsStartup) {
+    Found->second.Started = true;
+    Events(proxy::events::session_opened{Number, std::move(Message.Database),
+                                         std::move(Message.Credential)});
+  } else {
+    Events(proxy::events::statement_arrived{Number, std::move(Message.Id),
+                                            std::move(Message.Statement)});
+  }
+  return Sessions.contains(Number);
+}
+
+void caller_listener::ended(proxy::session_number Number) {
+  const auto Found = Sessions.find(Number);
+  if (Found == Sessions.end())
+    return;
+  const bool Started = Found->second.Started;
+  Found->second.Socket->close();
+  Sessions.erase(Found);
+  if (Started)
+    Events(proxy::events::session_closed{Number});
+}
+
+void caller_listener::drop(proxy::session_number Number,
+                           const std::string &LastWords) {
+  const auto Found = Sessions.find(Number);
+  if (Found == Sessions.end())
+    return;
+  const std::shared_ptr<line_socket> Socket = Found->second.Socket;
+  Sessions.erase(Found);
+  if (!LastWords.empty())
+    Socket->send(LastWords);
+  Socket->closeAfterSending();
+}
+
+void caller_listener::carryOut(const proxy::effects::accept_session &Effect) {
+  const auto Found = Sessions.find(Effect.Session);
+  if (Found != Sessions.end())
+    Found->second.Socket->send(platform::formatWelcome());
+}
+
+void caller_listener::carryOut(const proxy::effects::refuse_session &Effect) {
+  drop(Effect.Session, platform::formatRefusal(Effect.Code, Effect.Text));
+}
+
+void caller_listener::carryOut(const proxy::effects::answer_caller &Effect) {
+  const auto Found = Sessions.find(Effect.Session);
+  if (Found != Sessions.end())
+    Found->second.Socket->send(platform::formatAnswer(Effect.Answer));
+}
+
+void caller_listener::carryOut(const proxy::effects::close_session &Effect) {
+  drop(Effect.Session, {});
+}
+
+void caller_listener::dropSilent(instant Now) {
+  std::vector<proxy::session_number> Silent;
+  for (const auto &[Number, Session] : Sessions)
+    if (!Session.Started && Now > Session.OpenedAt + StartupLimit)
+      Silent.push_back(Number);
+  for (const proxy::session_number Number : Silent)
+    drop(Number, {});
+}
+
+} // namespace bronzespar::serve
--- /dev/null
+++ b/src/serve/callers.hpp
@@ -0,0 +1,44 @@
+/// Listener for callers; a connection is a session.
+#pragma once
+
+#include "line_socket.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+
+namespace bronzespar::serve {
+
+class caller_listener {
+public:
+  caller_listener(boost::asio::io_context &Io, const endpoint &Where,
+                  event_sink Events);
+
+  void start();
+  void carryOut(const proxy::effects::accept_session &Effect);
+  void carryOut(const proxy::effects::refuse_session &Effect);
+  void carryOut(const proxy::effects::answer_caller &Effect);
+  void carryOut(const proxy::effects::close_session &Effect);
+  /// \brief Closes sessions that did not name a database in time.
+  void dropSilent(instant Now);
+
+private:
+  struct session {
+    std::shared_ptr<line_socket> Socket;
+    instant OpenedAt{};
+    bool Started = false;
+  };
+
+  void accept();
+  void adopt(boost::asio::ip::tcp::socket Socket);
+  bool lineArrived(proxy::session_number Number, std::string_view Line);
+  void ended(proxy::session_number Number);
+  void drop(proxy::session_number Number, const std::string &LastWords);
+
+  boost::asio::ip::tcp::acceptor Acceptor;
+  event_sink Events;
+  std::map<proxy::session_number, session> Sessions;
+  proxy::session_number LastNumber = 0;
+};
+
+} // namespace bronzespar::serve
--- /dev/null
+++ b/src/serve/meters.cpp
@@ -0,0 +1,75 @@
+/// Meters as text.
+#include "meters.hpp"
+
+#include <sstream>
+
+namespace bronzespar::serve {
+
+namespace {
+
+constexpr unsigned Bins = 36;
+constexpr double LeastMs = 0.25;
+constexpr double MostMs = 8000;
+
+void addLatency(std::map<std::string, latency_meter> &Where,
+                const std::string &Name, double Milliseconds) {
+  const auto [Found, IsNew] = Where.try_emplace(Name);
+  if (IsNew)
+    Found->second.Histogram =
+        latency_histogram(std::tuple(latency_axis(Bins, LeastMs, MostMs)));
+  Found->second.Histogram(Milliseconds);
+  Found->second.SumMs += Milliseconds;
+  Found->second.Count += 1;
+}
+
+void writeCounts(
+    std::ostream &Out, const char *Name, const char *Label,
+    const std::map<std::pair<std::string, std::string>, std::uint64_t> &Counts) {
+  for (const auto &[Key, Count] : Counts)
+    Out << Name << '{' << Label << "=\"" << Key.first << "\",code=\""
+        << Key.second << "\"} " << Count << '\n';
+}
+
+void writeLatencies(std::ostream &Out, const char *Label,
+                    const std::map<std::string, latency_meter> &Meters) {
+  for (const auto &[Name, Meter] : Meters) {
+    std::uint64_t Sum = Meter.Histogram.at(-1);
+    for (int Bin = 0; Bin < static_cast<int>(Bins); ++Bin) {
+      Sum += Meter.Histogram.at(Bin);
+      Out << "bronzespar_latency_ms_bucket{" << Label << "=\"" << Name
+          << "\",le=\"" << Meter.Histogram.axis().bin(Bin).upper() << "\"} "
+          << Sum << '\n';
+    }
+    Out << "bronzespar_latency_ms_sum{" << Label << "=\"" << Name << "\"} "
+        << Meter.SumMs << '\n';
+    Out << "bronzespar_latency_ms_count{" << Label << "=\"" << Name << "\"} "
+        << Meter.Count << '\n';
+  }
+}
+
+} // namespace
+
+void countOutcome(meters &Meters, const proxy::effects::record_outcome &What) {
+  const std::string Class(What.Class);
+  const std::string Code(enumName(What.Code));
+  Meters.Outcomes[{Class, Code}] += 1;
+  Meters.Accounts[{What.Account, Code}] += 1;
+  const double Milliseconds = toMilliseconds(What.Latency);
+  addLatency(Meters.Latencies, Class, Milliseconds);
+  addLatency(Meters.AccountLatencies, What.Account, Milliseconds);
+}
+
+std::string formatMeters(const meters &Meters) {
+  std::ostringstream Out;
+  writeCounts(Out, "bronzespar_statements_total", "class", Meters.Outcomes);
+  writeCounts(Out, "bronzespar_account_statements_total", "account",
+              Meters.Accounts);
+  for (const auto &[Name, Count] : Meters.Events)
+    Out << "bronzespar_events_total{event=\"" << Name << "\"} " << Count
+        << '\n';
+  writeLatencies(Out, "class", Meters.Latencies);
+  writeLatencies(Out, "account", Meters.AccountLatencies);
+  return Out.str();
+}
+
+} // namespace bronzespar::serve
--- /dev/null
+++ b/src/serve/serve_settings.hpp
@@ -0,0 +1,28 @@
+/// Settings file of a session host.
+#pragma once
+
+#include <bronzespar/endpoint.hpp>
+#include <bronzespar/proxy/host.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace bronzespar::serve {
+
+/// \brief Contents of a session host's INI file; deploy/host.ini is an example.
+struct serve_settings {
+  proxy::host_identity Identity;
+  endpoint Callers;
+  endpoint Readiness;
+  endpoint Metrics;
+  endpoint Store;
+  endpoint Duty;
+};
+
+/// \brief Reads a settings text.
+/// \param Fault Receives what is wrong, with its line, when nothing is returned.
+[[nodiscard]] std::optional<serve_settings>
+parseServeSettings(std::string_view Text, std::string &Fault);
+
+} // namespace bronzespar::serve
--- /dev/null
+++ b/src/serve/session_daemon.cpp
@@ -0,0 +1,177 @@
+/// Event loop of a session host.
+#include "session_daemon.hpp"
+
+#include "callers.hpp"
+#include "journal.hpp"
+#include "meters.hpp"
+#include "targets.hpp"
+#include "text_server.hpp"
+#include "token_links.hpp"
+
+#include <platform/node_file.hpp>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <csignal>
+#include <deque>
+#include <optional>
+
+namespace bronzespar::serve {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace effects = proxy::effects;
+
+/// Resolution of every deadline; shorter ticks cost processor time.
+constexpr duration TickLength = std::chrono::milliseconds(20);
+constexpr unsigned StatusReady = 200;
+constexpr unsigned StatusNotReady = 503;
+constexpr unsigned StatusUnknownPath = 404;
+
+struct session_daemon {
+  explicit session_daemon(const serve_settings &Settings)
+      : Host(proxy::makeHost(Settings.Identity)), Ticker(Io), Signals(Io),
+        Callers(Io, Settings.Callers, sink()), Targets(Io, sink()),
+        Tokens(Io, Settings.Identity.Peers, sink()),
+        Store(Io, {Settings.Store, Settings.Duty}, sink(),
+              [this](const std::string &Key, const std::string &Fault) {
+                logNow("store.unusable", {{"key", Key}, {"fault", Fault}});
+              },
+              bootNow),
+        Readiness(Io, Settings.Readiness,
+                  [this](const std::string &Path) { return check(Path); }),
+        Metrics(Io, Settings.Metrics, [this](const std::string &) {
+          return text_answer{StatusReady, formatMeters(Meters)};
+        }) {
+    Log.Host = Settings.Identity.Name;
+  }
+
+  event_sink sink() {
+    return [this](proxy::event What) { post(std::move(What)); };
+  }
+
+  text_answer check(const std::string &Path) const {
+    if (Path != platform::ReadinessPath)
+      return {StatusUnknownPath, "no such path\n"};
+    return {Ready ? StatusReady : StatusNotReady, {}};
+  }
+
+  /// Steps the host; an event that an effect brings about waits its turn.
+  void post(proxy::event What) {
+    Events.push_back(std::move(What));
+    if (Stepping)
+      return;
+    Stepping = true;
+    while (!Events.empty()) {
+      proxy::event Next = std::move(Events.front());
+      Events.pop_front();
+      Effects.clear();
+      proxy::step(*Host, std::move(Next), bootNow(), Effects);
+      for (const proxy::effect &Effect : Effects)
+        std::visit([this](const auto &Value) { carryOut(Value); }, Effect);
+    }
+    Stepping = false;
+  }
+
+  void carryOut(const effects::accept_session &E) { Callers.carryOut(E); }
+  void carryOut(const effects::refuse_session &E) { Callers.carryOut(E); }
+  void carryOut(const effects::answer_caller &E) { Callers.carryOut(E); }
+  void carryOut(const effects::close_session &E) { Callers.carryOut(E); }
+  void carryOut(const effects::open_target &E) { Targets.carryOut(E); }
+  void carryOut(const effects::send_target &E) { Targets.carryOut(E); }
+  void carryOut(const effects::close_target &E) { Targets.carryOut(E); }
+  void carryOut(const effects::probe_target &E) { Targets.carryOut(E); }
+  void carryOut(const effects::change_records &E) { Store.carryOut(E); }
+  void carryOut(const effects::read_records &E) { Store.carryOut(E); }
+  void carryOut(const effects::grant_lease &E) { Store.carryOut(E); }
+  void carryOut(const effects::renew_lease &E) { Store.carryOut(E); }
+  void carryOut(const effects::end_lease &E) { Store.carryOut(E); }
+  void carryOut(const effects::order_promotion &E) { Store.carryOut(E); }
+  void carryOut(const effects::ask_tokens &E) { Tokens.carryOut(E); }
+  void carryOut(const effects::grant_tokens &E) { Tokens.carryOut(E); }
+  void carryOut(const effects::set_ready &E) { Ready = E.Ready; }
+  void carryOut(const effects::write_log &E) {
+    Meters.Events[E.Event] += 1;
+    addLine(Log, E, bootNow());
+  }
+  void carryOut(const effects::record_outcome &E) { countOutcome(Meters, E); }
+  void carryOut(const effects::stop_process &) {
+    // The last answers leave with this turn of the loop.
+    asio::post(Io, [this] { Io.stop(); });
+  }
+
+  void logNow(std::string_view Event, std::vector<effects::log_field> Fields) {
+    carryOut(effects::write_log{Event, std::move(Fields)});
+  }
+
+  void tick() {
+    Ticker.expires_after(TickLength);
+    Ticker.async_wait([this](const boost::system::error_code &Cancelled) {
+      if (Cancelled)
+        return;
+      post(proxy::events::tick{});
+      Callers.dropSilent(bootNow());
+      flushLines(Log);
+      tick();
+    });
+  }
+
+  void awaitSignal() {
+    Signals.async_wait(
+        [this](const boost::system::error_code &Cancelled, int Number) {
+          if (Cancelled)
+            return;
+          if (Number == SIGHUP)
+            logNow("settings.signal", {});
+          else
+            post(proxy::events::stop_requested{});
+          awaitSignal();
+        });
+  }
+
+  int run() {
+    prepareOutput();
+    Signals.add(SIGTERM);
+    Signals.add(SIGINT);
+    Signals.add(SIGHUP);
+    logNow("host.started", {{"version", BRONZESPAR_VERSION}});
+    awaitSignal();
+    Callers.start();
+    Tokens.start();
+    Readiness.start();
+    Metrics.start();
+    Store.start();
+    tick();
+    Io.run();
+    flushLines(Log);
+    return 0;
+  }
+
+  asio::io_context Io{1};
+  proxy::host_pointer Host;
+  std::deque<proxy::event> Events;
+  proxy::effect_list Effects;
+  bool Stepping = false;
+  bool Ready = false;
+  journal Log;
+  meters Meters;
+  asio::steady_timer Ticker;
+  asio::signal_set Signals;
+  caller_listener Callers;
+  target_links Targets;
+  token_links Tokens;
+  platform::store_client Store;
+  text_server Readiness;
+  text_server Metrics;
+};
+
+} // namespace
+
+int runSessionDaemon(const serve_settings &Settings) {
+  session_daemon Daemon(Settings);
+  return Daemon.run();
+}
+
+} // namespace bronzespar::serve
