--- a/src/proxy/listing.cpp
+++ b/src/proxy/listing.cpp
@@ -59,6 +59,18 @@
   host &State = Step.State;
   if (State.Settings && Settings.Version <= State.Settings->Version)
     return;
+  for (const auto &[Name, Account] : Settings.Accounts) {
+    const client_account *Old =
+        State.Settings ? findIn(State.Settings->Accounts, Name) : nullptr;
+    if (Old != nullptr && Old->RatePerSecond == Account.RatePerSecond &&
+        Old->Burst == Account.Burst)
+      continue;
+    logLine(Step, "account.rate",
+            {{"account", Name},
+             {"rate", std::to_string(Account.RatePerSecond)},
+             {"burst", std::to_string(Account.Burst)},
+             {"settings", std::to_string(Settings.Version)}});
+  }
   logLine(Step, "settings.adopted",
           {{"version", std::to_string(Settings.Version)},
            {"routes", std::to_string(Settings.Routes.size())},
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -44,7 +44,7 @@
   const std::size_t Hosts = std::max<std::size_t>(State.Hosts.size(), 1);
   const unsigned Most = Limits == nullptr ? 1 : Limits->MaxConnections;
   const auto Even = std::max(1U, static_cast<unsigned>(Most / Hosts));
-  return std::min(Most, Even + 1);
+  return std::min(Most, Even);
 }
 
 /// An idle connection of the account, best one that holds the same values.
