Relay calls to the store through peers; hand callers over when isolated

Hosts of a data centre that is cut off stayed in rotation with nothing to serve.

Change: a call that a host cannot make goes through a peer (store_path decides, store_gateway carries out); a host that hears neither store nor peers is not ready and closes resting sessions once the balancer has left it.

--- a/include/bronzespar/proxy/interface.hpp
+++ b/include/bronzespar/proxy/interface.hpp
@@ -102,6 +102,10 @@
 struct store_reached {
   bool Reached = true;
 };
+/// \brief Neither the store nor other hosts answer, or one does again.
+struct isolation_changed {
+  bool Isolated = false;
+};
 struct record_changed {
   store_record Record;
 };
@@ -155,7 +159,8 @@
                  events::target_refused, events::target_answered,
                  events::target_lost, events::target_probed,
                  events::settings_changed, events::targets_listed,
-                 events::store_reached, events::record_changed,
+                 events::store_reached, events::isolation_changed,
+                 events::record_changed,
                  events::record_removed, events::records_read,
                  events::change_ended, events::lease_answered,
                  events::promotion_answered, events::tokens_asked,
@@ -238,6 +243,10 @@
   token_transfer Granted;
 };
 
+/// \brief Hosts that may relay calls to the store.
+struct set_peers {
+  std::vector<endpoint> Peers;
+};
 struct set_ready {
   bool Ready = false;
 };
@@ -271,7 +280,7 @@
                  effects::change_records, effects::read_records,
                  effects::grant_lease, effects::renew_lease, effects::end_lease,
                  effects::order_promotion, effects::ask_tokens,
-                 effects::grant_tokens, effects::set_ready, effects::write_log,
+                 effects::grant_tokens, effects::set_peers, effects::set_ready, effects::write_log,
                  effects::record_outcome, effects::stop_process>;
 using effect_list = std::vector<effect>;
 
--- /dev/null
+++ b/include/bronzespar/proxy/store_path.hpp
@@ -0,0 +1,46 @@
+/// Whether a host calls the platform's store itself or through a peer. Answers
+/// the failures in which the store turns some hosts away while it serves the
+/// others, and in which hosts are cut off from it and from their peers.
+#pragma once
+
+#include <bronzespar/enum_table.hpp>
+#include <bronzespar/instant.hpp>
+
+#include <cstddef>
+
+namespace bronzespar::proxy {
+
+enum class store_way {
+  Direct,
+  Relay, ///< Through a peer.
+};
+BOOST_DESCRIBE_ENUM(store_way, Direct, Relay)
+
+/// \brief What the last calls told of both ways.
+struct store_path {
+  bool TurnedAway = false; ///< The last call of the host's own failed.
+  instant NextProbe{};     ///< When the store is called directly again.
+  std::size_t Peer = 0;    ///< Which peer relays; counts on after a failure.
+  /// Neither the store nor a peer has answered since then; set while they don't.
+  instant SilentSince{};
+  bool Silent = false;
+};
+
+/// \brief Chooses the way of a call.
+/// \param Waits The call waits for changes; it never probes a store that
+/// turned the host away.
+[[nodiscard]] store_way chooseWay(store_path &Path, bool HasPeers, bool Waits,
+                                  instant Now);
+
+/// \brief Notes how a call of the host's own ended.
+void directEnded(store_path &Path, bool Served, instant Now);
+
+/// \brief Notes how a relayed call ended.
+/// \param PeerAnswered The peer said something.
+/// \param Served The store answered it.
+void relayEnded(store_path &Path, bool PeerAnswered, bool Served, instant Now);
+
+/// \brief True once neither store nor peers have answered for a while.
+[[nodiscard]] bool isIsolated(const store_path &Path, instant Now);
+
+} // namespace bronzespar::proxy
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -29,6 +29,7 @@
   endIdleTransactions(Step);
   askForTokens(Step);
   updateReadiness(Step);
+  superviseIsolation(Step);
   superviseStop(Step);
 }
 
@@ -62,6 +63,9 @@
   void operator()(events::store_reached &What) {
     storeReached(Step, What.Reached);
   }
+  void operator()(events::isolation_changed &What) {
+    isolationChanged(Step, What.Isolated);
+  }
   void operator()(events::record_changed &What) {
     recordChanged(Step, What.Record);
   }
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -91,6 +91,9 @@
 void requestStop(step_context &Step);
 void superviseStop(step_context &Step);
 void updateReadiness(step_context &Step);
+void isolationChanged(step_context &Step, bool Isolated);
+/// \brief Hands callers over while this host can serve nothing.
+void superviseIsolation(step_context &Step);
 
 /// \brief Writes a log line.
 void logLine(step_context &Step, std::string_view Event,
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -20,7 +20,7 @@
 constexpr int RenewalsPerLease = 4;
 /// Part of the lease in which primaries are used; covers timer lateness.
 constexpr double UsablePart = 0.9;
-constexpr duration RetryPause = std::chrono::milliseconds(150);
+constexpr duration RetryPause = std::chrono::milliseconds(60);
 /// Dials that fail for this long show that a target is not reached.
 constexpr duration BlindAfter = std::chrono::milliseconds(200);
 constexpr unsigned BlindFailures = 2;
@@ -136,6 +136,15 @@
   acknowledgeClosed(Step, Group);
 }
 
+/// Tells the adapters which hosts may relay calls.
+void listPeers(step_context &Step) {
+  effects::set_peers Peers;
+  for (const auto &[Name, Peer] : Step.State.Hosts)
+    if (Name != Step.State.Identity.Name)
+      Peers.Peers.push_back(Peer.Record.Peers);
+  Step.Out.push_back(std::move(Peers));
+}
+
 void hostChanged(step_context &Step, const std::string &Name,
                  const store_record &Record) {
   auto Parsed = parseHostRecord(Record.Value);
@@ -148,8 +157,10 @@
     Lease.Registered = Record.Value;
   const std::size_t Before = Step.State.Hosts.size();
   Step.State.Hosts[Name] = {std::move(*Parsed), Record.Lease};
-  if (Step.State.Hosts.size() != Before)
+  if (Step.State.Hosts.size() != Before) {
     divideAmongHosts(Step);
+    listPeers(Step);
+  }
 }
 
 void dutyChanged(host &State, const store_record &Record) {
@@ -227,6 +238,7 @@
   if (Key.starts_with(HostsPrefix)) {
     Step.State.Hosts.erase(Key.substr(HostsPrefix.size()));
     divideAmongHosts(Step);
+    listPeers(Step);
   } else if (Key == DutyKey) {
     Step.State.Duty.Holder.clear();
   }
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -220,6 +220,9 @@
   bool StoreReached = false;
   instant KeepAbsentUntil{}; ///< Lapsed targets may yet come back.
   bool Ready = false;
+  /// Neither store nor peers answer; see superviseIsolation.
+  bool Isolated = false;
+  instant IsolatedAt{};
   bool Stopping = false;
   instant StoppedAt{};
   instant HostsGrewAt{};
--- a/src/proxy/stopping.cpp
+++ b/src/proxy/stopping.cpp
@@ -74,10 +74,23 @@
   Step.Out.push_back(effects::stop_process{});
 }
 
+void isolationChanged(step_context &Step, bool Isolated) {
+  Step.State.Isolated = Isolated;
+  Step.State.IsolatedAt = Step.Now;
+  logLine(Step, Isolated ? "host.isolated" : "host.rejoined", {});
+}
+
+void superviseIsolation(step_context &Step) {
+  const host &State = Step.State;
+  if (State.Isolated && !State.Stopping &&
+      Step.Now >= State.IsolatedAt + BalancerLeaves)
+    closeResting(Step);
+}
+
 void updateReadiness(step_context &Step) {
   host &State = Step.State;
   bool Ready = State.Settings.has_value() && State.TargetsKnown &&
-               !State.Stopping && !State.Groups.empty();
+               !State.Stopping && !State.Isolated && !State.Groups.empty();
   // Once ready, a host without a lease still serves reads that may be old.
   if (!State.Ready)
     for (const auto &[Name, Group] : State.Groups)
--- /dev/null
+++ b/src/proxy/store_path.cpp
@@ -0,0 +1,54 @@
+/// Choice between the store itself and a peer.
+#include <bronzespar/proxy/store_path.hpp>
+
+namespace bronzespar::proxy {
+
+namespace {
+
+/// A store that turned the host away is asked again after this.
+constexpr duration ProbePause = std::chrono::milliseconds(1500);
+/// Without any answer for this long, a host is isolated.
+constexpr duration IsolatedAfter = std::chrono::milliseconds(1000);
+
+void noteAnswer(store_path &Path, bool Any, instant Now) {
+  if (Any) {
+    Path.Silent = false;
+  } else if (!Path.Silent) {
+    Path.Silent = true;
+    Path.SilentSince = Now;
+  }
+}
+
+} // namespace
+
+store_way chooseWay(store_path &Path, bool HasPeers, bool Waits, instant Now) {
+  if (!Path.TurnedAway || !HasPeers)
+    return store_way::Direct;
+  if (!Waits && Now >= Path.NextProbe) {
+    Path.NextProbe = Now + ProbePause;
+    return store_way::Direct;
+  }
+  return store_way::Relay;
+}
+
+void directEnded(store_path &Path, bool Served, instant Now) {
+  if (!Served && !Path.TurnedAway)
+    Path.NextProbe = Now + ProbePause;
+  Path.TurnedAway = !Served;
+  if (Served)
+    noteAnswer(Path, true, Now);
+}
+
+void relayEnded(store_path &Path, bool PeerAnswered, bool Served,
+                instant Now) {
+  if (!Served)
+    Path.Peer += 1;
+  noteAnswer(Path, PeerAnswered, Now);
+}
+
+bool isIsolated(const store_path &Path, instant Now) {
+  return Path.TurnedAway && Path.Silent &&
+         Now >= Path.SilentSince + IsolatedAfter;
+}
+
+} // namespace bronzespar::proxy
--- /dev/null
+++ b/src/serve/frame_socket.hpp
@@ -0,0 +1,50 @@
+/// A TCP connection that carries length-prefixed frames.
+#pragma once
+
+#include "wiring.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace bronzespar::serve {
+
+/// \brief A connection between hosts.
+/// Invariant: Outgoing holds at most MaxOutgoingBytes; what is more is dropped.
+class frame_socket : public std::enable_shared_from_this<frame_socket> {
+public:
+  static constexpr std::uint32_t MaxFrameBytes = 8U << 20;
+  static constexpr std::size_t MaxOutgoingBytes = std::size_t{16} << 20;
+
+  using frame_hook = std::function<void(const std::string &)>;
+  using end_hook = std::function<void()>;
+
+  frame_socket(boost::asio::ip::tcp::socket Open, frame_hook Frame,
+               end_hook End);
+
+  void connect(const endpoint &Where);
+  /// \brief Reads frames of an accepted connection.
+  void start();
+  void send(std::string_view Payload);
+  /// \brief Ends the connection; no hook is called any more.
+  void close();
+
+private:
+  void write();
+  void readLength();
+  void readBody(std::uint32_t Size);
+  void fail();
+
+  boost::asio::ip::tcp::socket Socket;
+  frame_hook OnFrame;
+  end_hook OnEnd;
+  std::uint32_t Length = 0; ///< Big endian.
+  std::string Body;
+  std::string Outgoing;
+  std::string Sending;
+  bool Connecting = false;
+  bool Writing = false;
+  bool Closed = false;
+};
+
+} // namespace bronzespar::serve
--- a/src/serve/session_daemon.cpp
+++ b/src/serve/session_daemon.cpp
@@ -4,9 +4,10 @@
 #include "callers.hpp"
 #include "journal.hpp"
 #include "meters.hpp"
+#include "peer_links.hpp"
 #include "targets.hpp"
 #include "text_server.hpp"
-#include "token_links.hpp"
+#include "store_gateway.hpp"
 
 #include <platform/node_file.hpp>
 
@@ -34,8 +35,13 @@
   explicit session_daemon(const serve_settings &Settings)
       : Host(proxy::makeHost(Settings.Identity)), Ticker(Io), Signals(Io),
         Callers(Io, Settings.Callers, sink()), Targets(Io, sink()),
-        Tokens(Io, Settings.Identity.Peers, sink()),
-        Store(Io, {Settings.Store, Settings.Duty}, sink(),
+        Peers(Io, Settings.Identity.Peers, sink(),
+              [this](platform::http_call Call, relay_callback Done) {
+                Gateway.relayFor(std::move(Call), std::move(Done));
+              }),
+        Gateway(Io, Settings.Store, Settings.Duty, Peers, sink(),
+                [this](std::string_view Event) { logNow(Event, {}); }),
+        Store(Io, Gateway.makeLanes(), sink(),
               [this](const std::string &Key, const std::string &Fault) {
                 logNow("store.unusable", {{"key", Key}, {"fault", Fault}});
               },
@@ -89,8 +95,9 @@
   void carryOut(const effects::renew_lease &E) { Store.carryOut(E); }
   void carryOut(const effects::end_lease &E) { Store.carryOut(E); }
   void carryOut(const effects::order_promotion &E) { Store.carryOut(E); }
-  void carryOut(const effects::ask_tokens &E) { Tokens.carryOut(E); }
-  void carryOut(const effects::grant_tokens &E) { Tokens.carryOut(E); }
+  void carryOut(const effects::ask_tokens &E) { Peers.carryOut(E); }
+  void carryOut(const effects::grant_tokens &E) { Peers.carryOut(E); }
+  void carryOut(const effects::set_peers &E) { Gateway.setPeers(E.Peers); }
   void carryOut(const effects::set_ready &E) { Ready = E.Ready; }
   void carryOut(const effects::write_log &E) {
     Meters.Events[E.Event] += 1;
@@ -113,6 +120,8 @@
         return;
       post(proxy::events::tick{});
       Callers.dropSilent(bootNow());
+      Gateway.supervise(bootNow());
+      Peers.dropOverdue(bootNow());
       flushLines(Log);
       tick();
     });
@@ -139,7 +148,7 @@
     logNow("host.started", {{"version", BRONZESPAR_VERSION}});
     awaitSignal();
     Callers.start();
-    Tokens.start();
+    Peers.start();
     Readiness.start();
     Metrics.start();
     Store.start();
@@ -161,7 +170,8 @@
   asio::signal_set Signals;
   caller_listener Callers;
   target_links Targets;
-  token_links Tokens;
+  peer_links Peers;
+  store_gateway Gateway;
   platform::store_client Store;
   text_server Readiness;
   text_server Metrics;
--- /dev/null
+++ b/src/serve/store_gateway.cpp
@@ -0,0 +1,118 @@
+/// Direct and relayed calls.
+#include "store_gateway.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <utility>
+
+namespace bronzespar::serve {
+
+namespace {
+
+constexpr unsigned StatusNone = 0;
+constexpr unsigned StatusTooMany = 429;
+constexpr unsigned StatusUnavailable = 503;
+
+bool isServed(const platform::http_answer &Answer) noexcept {
+  return Answer.Status != StatusNone && Answer.Status != StatusTooMany &&
+         Answer.Status != StatusUnavailable;
+}
+
+} // namespace
+
+store_gateway::store_gateway(boost::asio::io_context &Context,
+                             endpoint StoreAt, endpoint DutyAt,
+                             peer_links &PeerLinks, event_sink Sink,
+                             log_function Logger)
+    : Io(Context), Store(std::move(StoreAt)), Duty(std::move(DutyAt)),
+      Peering(PeerLinks), Events(std::move(Sink)), Log(std::move(Logger)) {}
+
+platform::platform_lanes store_gateway::makeLanes() {
+  platform::platform_lanes Lanes;
+  Lanes.Lease = makeStoreLane();
+  Lanes.Change = makeStoreLane();
+  Lanes.Operator = makeStoreLane();
+  Lanes.Targets = makeStoreLane();
+  Lanes.Records = makeStoreLane();
+  auto DutyLink = std::make_shared<platform::http_link>(Io, Duty);
+  Lanes.Duty = [DutyLink](platform::http_call Call,
+                          platform::http_callback Done) {
+    DutyLink->call(std::move(Call), std::move(Done));
+  };
+  return Lanes;
+}
+
+platform::call_function store_gateway::makeStoreLane() {
+  auto Link = std::make_shared<platform::http_link>(Io, Store);
+  Links.push_back(Link);
+  return [this, Link](platform::http_call Call, platform::http_callback Done) {
+    call(*Link, std::move(Call), std::move(Done));
+  };
+}
+
+void store_gateway::call(platform::http_link &Link, platform::http_call Call,
+                         platform::http_callback Done) {
+  const auto Way =
+      proxy::chooseWay(Path, !Peers.empty(), Call.Waits, bootNow());
+  if (Way == proxy::store_way::Relay)
+    callThroughPeer(Call, std::move(Done));
+  else
+    callDirectly(Link, std::move(Call), std::move(Done));
+}
+
+void store_gateway::callDirectly(platform::http_link &Link,
+                                 platform::http_call Call,
+                                 platform::http_callback Done) {
+  Link.call(std::move(Call), [this, Done = std::move(Done)](
+                                 const platform::http_answer &Answer) {
+    noteDirect(isServed(Answer));
+    Done(Answer);
+  });
+}
+
+void store_gateway::noteDirect(bool Served) {
+  const bool Was = Path.TurnedAway;
+  proxy::directEnded(Path, Served, bootNow());
+  if (Was == Path.TurnedAway)
+    return;
+  Log(Path.TurnedAway ? "store.turned_away" : "store.direct");
+  if (Path.TurnedAway && !Peers.empty())
+    for (const auto &Link : Links)
+      Link->abandonWaiting();
+}
+
+void store_gateway::callThroughPeer(const platform::http_call &Call,
+                                    platform::http_callback Done) {
+  const endpoint &Peer = Peers[Path.Peer % Peers.size()];
+  Peering.relay(Peer, Call,
+                [this, Done = std::move(Done)](relay_answer Answer) {
+                  proxy::relayEnded(Path, Answer.PeerAnswered,
+                                    isServed(Answer.Answer), bootNow());
+                  Done(std::move(Answer.Answer));
+                });
+}
+
+void store_gateway::relayFor(platform::http_call Call, relay_callback Done) {
+  if (Path.TurnedAway) {
+    Done({{}, true, true});
+    return;
+  }
+  // A link of its own: the peer's waiting calls must not hold up this host's.
+  auto Link = std::make_shared<platform::http_link>(Io, Store);
+  Link->call(std::move(Call), [Context = &Io, Link, Done = std::move(Done)](
+                                  platform::http_answer Answer) mutable {
+    Done({std::move(Answer), true, false});
+    // Ends the link after its own callback has returned.
+    boost::asio::post(*Context, [Last = std::move(Link)] {});
+  });
+}
+
+void store_gateway::supervise(instant Now) {
+  const bool IsIsolated = proxy::isIsolated(Path, Now);
+  if (IsIsolated == Isolated)
+    return;
+  Isolated = IsIsolated;
+  Events(proxy::events::isolation_changed{Isolated});
+}
+
+} // namespace bronzespar::serve
--- /dev/null
+++ b/src/serve/store_gateway.hpp
@@ -0,0 +1,55 @@
+/// Calls to the platform, made directly or through a peer.
+#pragma once
+
+#include "peer_links.hpp"
+#include "wiring.hpp"
+
+#include <bronzespar/proxy/store_path.hpp>
+#include <platform/http_link.hpp>
+#include <platform/store_client.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace bronzespar::serve {
+
+class store_gateway {
+public:
+  using log_function = std::function<void(std::string_view Event)>;
+
+  store_gateway(boost::asio::io_context &Context, endpoint StoreAt,
+                endpoint DutyAt, peer_links &Links, event_sink Sink,
+                log_function Logger);
+  store_gateway(const store_gateway &) = delete;
+  store_gateway &operator=(const store_gateway &) = delete;
+
+  [[nodiscard]] platform::platform_lanes makeLanes();
+  void setPeers(std::vector<endpoint> Known) { Peers = std::move(Known); }
+  /// \brief Makes a call for a peer, unless this host is turned away itself.
+  void relayFor(platform::http_call Call, relay_callback Done);
+  /// \brief Reports when the host becomes isolated or joins again.
+  void supervise(instant Now);
+
+private:
+  platform::call_function makeStoreLane();
+  void call(platform::http_link &Link, platform::http_call Call,
+            platform::http_callback Done);
+  void callDirectly(platform::http_link &Link, platform::http_call Call,
+                    platform::http_callback Done);
+  void callThroughPeer(const platform::http_call &Call,
+                       platform::http_callback Done);
+  void noteDirect(bool Served);
+
+  boost::asio::io_context &Io;
+  endpoint Store;
+  endpoint Duty;
+  peer_links &Peering;
+  event_sink Events;
+  log_function Log;
+  proxy::store_path Path;
+  std::vector<endpoint> Peers;
+  std::vector<std::shared_ptr<platform::http_link>> Links; ///< Of store lanes.
+  bool Isolated = false;
+};
+
+} // namespace bronzespar::serve
