Isolation by other data centres' answers, crowded targets, quicker promotions

Cause: neighbours in the same cut-off data centre answered 'turned away' and hid the isolation; after a loss of power the targets hold dead connections for 3 s and hosts kept the few free ones idle; promotions waited 350 ms for the primary that was lost.

--- a/include/bronzespar/proxy/store_path.hpp
+++ b/include/bronzespar/proxy/store_path.hpp
@@ -21,9 +21,7 @@
   bool TurnedAway = false; ///< The last call of the host's own failed.
   instant NextProbe{};     ///< When the store is called directly again.
   std::size_t Peer = 0;    ///< Which peer relays; counts on after a failure.
-  /// Neither the store nor a peer has answered since then; set while they don't.
-  instant SilentSince{};
-  bool Silent = false;
+  instant AnsweredAt{};    ///< When the store or a peer last said something.
 };
 
 /// \brief Chooses the way of a call.
@@ -41,6 +39,8 @@
 void relayEnded(store_path &Path, bool PeerAnswered, bool Served, instant Now);
 
 /// \brief True once neither store nor peers have answered for a while.
+/// \remarks Peers of other data centres are meant: a neighbour that is cut off
+/// as well proves nothing.
 [[nodiscard]] bool isIsolated(const store_path &Path, instant Now);
 
 } // namespace bronzespar::proxy
--- a/src/proxy/connections.cpp
+++ b/src/proxy/connections.cpp
@@ -14,7 +14,11 @@
 /// After a failed dial; a restarting target is back within seconds.
 constexpr duration DialPause = std::chrono::milliseconds(60);
 /// All connections of the target are in use; some are closed soon.
-constexpr duration FullPause = std::chrono::milliseconds(40);
+constexpr duration FullPause = std::chrono::milliseconds(15);
+/// For this long, connections to it that are not in use are given up.
+constexpr duration CrowdedTime = std::chrono::milliseconds(1000);
+/// Unused for this long, while others wait for a connection.
+constexpr duration CrowdedIdle = std::chrono::milliseconds(8);
 /// The address belongs to another target now.
 constexpr duration WrongTargetPause = std::chrono::milliseconds(500);
 /// A target that refused for lack of room is spared for this long.
@@ -248,6 +252,15 @@
          Now > Connection.SentAt + AbandonedLimit;
 }
 
+/// Whether an unused connection is closed now.
+bool givesUpIdle(const target_view *Target, const target_connection &Connection,
+                 instant Now) {
+  if (Target == nullptr || !Target->Listed || Target->Entry.Draining)
+    return true;
+  const bool Crowded = Now < Target->CrowdedUntil;
+  return Now > Connection.IdleSince + (Crowded ? CrowdedIdle : IdleLimit);
+}
+
 void dialFailed(step_context &Step, target_view &Target, instant Since) {
   if (Target.DialFailures == 0)
     Target.FirstDialFailure = Since;
@@ -368,6 +381,8 @@
   if (target_view *Target = targetOf(Step, *Connection)) {
     const bool Full = What.Code == answer_code::TooManyConnections;
     Target->DialAfter = Step.Now + (Full ? FullPause : WrongTargetPause);
+    if (Full)
+      Target->CrowdedUntil = Step.Now + CrowdedTime;
     logLine(Step, "target.refused",
             {{"target", Connection->Target},
              {"code", std::string(enumName(What.Code))},
@@ -438,10 +453,8 @@
     }
     const bool Idle = Connection.Phase == connection_phase::Idle;
     const target_view *Target = targetOf(Step, Connection);
-    const bool Unlisted = Target == nullptr || !Target->Listed;
     if (abandoned(Connection, Step.Now) ||
-        (Idle && (Unlisted || Target->Entry.Draining ||
-                  Step.Now > Connection.IdleSince + IdleLimit)))
+        (Idle && givesUpIdle(Target, Connection, Step.Now)))
       Close.push_back(Number);
   }
   for (const connection_number Number : Close)
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -15,7 +15,7 @@
 
 /// Shorter leases cost more calls; longer ones delay a promotion past a host
 /// that is cut off.
-constexpr duration LeaseLength = std::chrono::milliseconds(2000);
+constexpr duration LeaseLength = std::chrono::milliseconds(1600);
 /// Renewals in each lease; two may be lost.
 constexpr int RenewalsPerLease = 4;
 /// Part of the lease in which primaries are used; covers timer lateness.
@@ -86,6 +86,7 @@
 host_record ownRecord(const host &State) {
   host_record Record;
   Record.Peers = State.Identity.Peers;
+  Record.DataCentre = State.Identity.DataCentre;
   for (const auto &[Name, Group] : State.Groups) {
     if (Group.Record && !Group.Record->Open && Group.Acknowledged > 0)
       Record.Acknowledged[Name] = Group.Acknowledged;
@@ -136,13 +137,20 @@
   acknowledgeClosed(Step, Group);
 }
 
-/// Tells the adapters which hosts may relay calls.
+/// Tells the adapters which hosts may relay calls: those of other data centres,
+/// which do not share what cuts this one off; without any, its neighbours.
 void listPeers(step_context &Step) {
-  effects::set_peers Peers;
-  for (const auto &[Name, Peer] : Step.State.Hosts)
-    if (Name != Step.State.Identity.Name)
-      Peers.Peers.push_back(Peer.Record.Peers);
-  Step.Out.push_back(std::move(Peers));
+  const host_identity &Own = Step.State.Identity;
+  effects::set_peers Others;
+  effects::set_peers Neighbours;
+  for (const auto &[Name, Peer] : Step.State.Hosts) {
+    if (Peer.Record.DataCentre != Own.DataCentre)
+      Others.Peers.push_back(Peer.Record.Peers);
+    else if (Name != Own.Name)
+      Neighbours.Peers.push_back(Peer.Record.Peers);
+  }
+  Step.Out.push_back(Others.Peers.empty() ? std::move(Neighbours)
+                                          : std::move(Others));
 }
 
 void hostChanged(step_context &Step, const std::string &Name,
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -216,9 +216,15 @@
 
 void choose(step_context &Step, const std::string &Name, group_state &Group) {
   promotion_state &Promotion = Group.Promotion;
-  if (Promotion.ProbesLeft > 0 && Step.Now < Promotion.NextProbe)
-    return;
   const auto &OldName = Group.Record->Primary;
+  // An unplanned change does not wait for the primary that was lost.
+  const bool OnlyOldMissing = !Promotion.Planned &&
+                              Promotion.ProbesLeft == 1 &&
+                              !Promotion.Statuses.contains(OldName) &&
+                              !Promotion.Statuses.empty();
+  if (Promotion.ProbesLeft > 0 && !OnlyOldMissing &&
+      Step.Now < Promotion.NextProbe)
+    return;
   for (const auto &[Id, Status] : Promotion.Statuses) {
     if (Id == OldName || !Status.IsPrimary)
       continue;
--- a/src/proxy/records.cpp
+++ b/src/proxy/records.cpp
@@ -43,6 +43,7 @@
   for (const auto &[Group, Primary] : Record.Blind)
     Blind[Group] = Primary;
   return json::serialize(json::object{{"peers", toText(Record.Peers)},
+                                      {"data_centre", Record.DataCentre},
                                       {"acknowledged", Acknowledged},
                                       {"blind", Blind}});
 }
@@ -69,6 +70,9 @@
   host_record Record;
   if (const auto Where = parseEndpoint(std::string_view(Peers->as_string())))
     Record.Peers = *Where;
+  if (const json::value *Place = Object->if_contains("data_centre");
+      Place != nullptr && Place->is_string())
+    Record.DataCentre = std::string_view(Place->as_string());
   if (const json::value *Map = Object->if_contains("acknowledged");
       Map != nullptr && Map->is_object())
     for (const auto &Entry : Map->as_object())
--- a/src/proxy/records.hpp
+++ b/src/proxy/records.hpp
@@ -27,6 +27,7 @@
 /// \brief A live host; its record ends with its lease.
 struct host_record {
   endpoint Peers;
+  std::string DataCentre;
   /// Closed generations for which the host has stopped using the primary.
   std::map<std::string, std::uint64_t> Acknowledged;
   /// Primaries that it cannot reach, by group.
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -126,6 +126,7 @@
   instant FirstDialFailure{};
   instant DialAfter{};
   instant BusyUntil{};    ///< It refused for lack of room.
+  instant CrowdedUntil{}; ///< All its connections are taken.
   instant LaggingUntil{}; ///< It lacked a wanted position.
   duration LagPause = std::chrono::milliseconds(20);
   log_position Known; ///< Latest position that it showed.
--- a/src/proxy/store_path.cpp
+++ b/src/proxy/store_path.cpp
@@ -7,17 +7,9 @@
 
 /// A store that turned the host away is asked again after this.
 constexpr duration ProbePause = std::chrono::milliseconds(1500);
-/// Without any answer for this long, a host is isolated.
-constexpr duration IsolatedAfter = std::chrono::milliseconds(1000);
-
-void noteAnswer(store_path &Path, bool Any, instant Now) {
-  if (Any) {
-    Path.Silent = false;
-  } else if (!Path.Silent) {
-    Path.Silent = true;
-    Path.SilentSince = Now;
-  }
-}
+/// Without any answer for this long, a host is isolated; two calls in a row
+/// have run out of time by then.
+constexpr duration IsolatedAfter = std::chrono::milliseconds(1600);
 
 } // namespace
 
@@ -36,19 +28,19 @@
     Path.NextProbe = Now + ProbePause;
   Path.TurnedAway = !Served;
   if (Served)
-    noteAnswer(Path, true, Now);
+    Path.AnsweredAt = Now;
 }
 
 void relayEnded(store_path &Path, bool PeerAnswered, bool Served,
                 instant Now) {
   if (!Served)
     Path.Peer += 1;
-  noteAnswer(Path, PeerAnswered, Now);
+  if (PeerAnswered)
+    Path.AnsweredAt = Now;
 }
 
 bool isIsolated(const store_path &Path, instant Now) {
-  return Path.TurnedAway && Path.Silent &&
-         Now >= Path.SilentSince + IsolatedAfter;
+  return Path.TurnedAway && Now >= Path.AnsweredAt + IsolatedAfter;
 }
 
 } // namespace bronzespar::proxy
