--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -39,12 +39,22 @@
   std::set<placement_class> Blocked;
 };
 
-unsigned connectionShare(const host &State, const std::string &Group) {
+/// Connections to one target that this host may hold.
+struct connection_share {
+  unsigned Usual = 1; ///< Kept while unused.
+  unsigned Most = 1;  ///< While all others are in use.
+};
+
+/// Hosts leave half of a target's connections free: after a loss of power the
+/// target holds the dead ones for seconds, and hosts that start again need room.
+connection_share connectionShare(const host &State, const std::string &Group) {
   const group_limits *Limits = findIn(State.Settings->Groups, Group);
   const std::size_t Hosts = std::max<std::size_t>(State.Hosts.size(), 1);
-  const unsigned Most = Limits == nullptr ? 1 : Limits->MaxConnections;
-  const auto Even = std::max(1U, static_cast<unsigned>(Most / Hosts));
-  return std::min(Most, Even);
+  const unsigned All = Limits == nullptr ? 1 : Limits->MaxConnections;
+  connection_share Share;
+  Share.Most = std::max(1U, static_cast<unsigned>(All / Hosts));
+  Share.Usual = std::max(1U, static_cast<unsigned>(All / (2 * Hosts)));
+  return Share;
 }
 
 /// An idle connection of the account, best one that holds the same values.
@@ -134,7 +144,7 @@
                                         Session))
     Option.Connection = Idle->Number;
   const bool Room =
-      Target.Connections < connectionShare(State, Request.Route.Group);
+      Target.Connections < connectionShare(State, Request.Route.Group).Most;
   Option.CanDial = Target.DialAfter <= Step.Now &&
                    (Room || evictable(State, Target.Entry.Id) != nullptr);
   return Option;
@@ -214,7 +224,7 @@
   const unsigned Ahead = Pump.Unplaced[Class]++;
   if (diallingFor(State, Request.Route.Group, Request.Account) > Ahead)
     return;
-  if (Target.Connections >= connectionShare(State, Request.Route.Group))
+  if (Target.Connections >= connectionShare(State, Request.Route.Group).Usual)
     if (const auto *Old = evictable(State, Target.Entry.Id))
       closeConnection(Step, Old->Number);
   dialTarget(Step, Target, Request.Account);
