--- a/src/proxy/connections.cpp
+++ b/src/proxy/connections.cpp
@@ -176,8 +176,10 @@
   const answer_code Fault = Connection.SetupFault;
   const std::string Target = Connection.Target;
   Connection.Request = 0;
-  if (Connection.SetupSpoilt ||
-      (Connection.Opens && Fault == answer_code::Complete))
+  // Only where the begin itself failed is no transaction open at the target.
+  const bool IsOpen = Connection.Session != 0 &&
+                      !(Connection.Opens && Fault != answer_code::Complete);
+  if (Connection.SetupSpoilt || IsOpen)
     closeConnection(Step, Number);
   else
     setIdle(Step, Connection);
--- a/tests/proxy/request_tests.cpp
+++ b/tests/proxy/request_tests.cpp
@@ -161,3 +161,34 @@
   Driver.ask(Session, "r1", statement_kind::Read, "READ 1");
   CHECK(answeredOnce(Driver).Code == answer_code::Denied);
 }
+
+TEST_CASE("A connection inside a transaction is not given to another session") {
+  // Found on a day of suspended hosts: the caller left while a shape was being
+  // prepared for the transaction's next statement, and the connection was idle
+  // afterwards, with the transaction open.
+  host_driver Driver;
+  Driver.becomeReady();
+  const session_number Session = Driver.openSession("live");
+  Driver.ask(Session, "b", statement_kind::Begin, "BEGIN");
+  Driver.ask(Session, "r1", statement_kind::Read, "READ 1");
+  Driver.connectAll();
+  const auto Begin = sentOnce(Driver);
+  const auto Open =
+      host_driver::completed({1, 0}, session_phase::InTransaction);
+  Driver.send(events::target_answered{Begin.Connection, Open});
+  (void)sentOnce(Driver);
+  Driver.send(events::target_answered{Begin.Connection, Open});
+  statement Set;
+  Set.Kind = statement_kind::SetValue;
+  Set.Name = "colour";
+  Set.Rest = "red";
+  Driver.send(events::statement_arrived{Session, "s", Set});
+  Driver.ask(Session, "r2", statement_kind::Read, "READ 2");
+  (void)sentOnce(Driver);
+  Driver.send(events::session_closed{Session});
+  Driver.send(events::target_answered{Begin.Connection, Open});
+  const session_number Other = Driver.openSession("live");
+  Driver.ask(Other, "r3", statement_kind::Read, "READ 3");
+  for (const auto &Sent : Driver.take<effects::send_target>())
+    CHECK(Sent.Connection != Begin.Connection);
+}
