Use idle connections before others are made or closed; say why a statement waited

Cause: in one pass over the queue a statement at the head closed connections that had been made for others behind it.

The replayed crowd (tests/proxy/crowd_tests) passes before and after: it states the load, it does not show this fault.

--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -34,7 +34,13 @@
 /// Requests alike in all that placement looks at.
 using placement_class = std::tuple<std::string, std::string, bool>;
 
+/// First, statements take the connections that there are; only then are
+/// connections made or closed for the rest. In one pass, a statement at the head
+/// would close the connection that was made for another one.
+enum class pump_pass { UseIdle, Dial };
+
 struct pump_state {
+  pump_pass Pass = pump_pass::UseIdle;
   std::map<placement_class, unsigned> Unplaced;
   std::set<placement_class> Blocked;
 };
@@ -208,7 +214,14 @@
   for (std::size_t Index = 0; Index < Candidates.size(); ++Index)
     Options.push_back(
         optionFor(Step, Request, Session, Candidates[Index], Index));
-  const auto Chosen = choosePlacement(Options);
+  auto Chosen = choosePlacement(Options);
+  if (Pump.Pass == pump_pass::UseIdle && Chosen && Chosen->Connection == 0) {
+    // A connection at a place that is not the best may do, before a dial.
+    std::erase_if(Options, [](const placement_option &Option) {
+      return Option.Connection == 0;
+    });
+    Chosen = Options.empty() ? Chosen : choosePlacement(Options);
+  }
   if (!Chosen) {
     Pump.Blocked.insert(Class);
     return;
@@ -221,6 +234,8 @@
                  Candidates[Chosen->Target].NotBefore);
     return;
   }
+  if (Pump.Pass == pump_pass::UseIdle)
+    return;
   const unsigned Ahead = Pump.Unplaced[Class]++;
   if (diallingFor(State, Request.Route.Group, Request.Account) > Ahead)
     return;
@@ -250,6 +265,28 @@
   return false;
 }
 
+/// Goes through the waiting statements in their order.
+void runPass(step_context &Step, pump_pass Pass) {
+  host &State = Step.State;
+  pump_state Pump;
+  Pump.Pass = Pass;
+  std::vector<request_number> Order;
+  Order.reserve(State.Waiting.Items.size());
+  for (const auto &[Rank, Number] : State.Waiting.Items)
+    Order.push_back(Number);
+  for (const request_number Number : Order) {
+    target_request *Request = findIn(State.Requests, Number);
+    if (Request == nullptr || !Request->Rank)
+      continue;
+    const placement_class Class{Request->Route.Group, Request->Account,
+                                Request->NeedsPrimary};
+    if (Pump.Blocked.contains(Class))
+      continue;
+    if (admitted(Step, *Request))
+      place(Step, *Request, Pump, Class);
+  }
+}
+
 } // namespace
 
 std::optional<double> expectedMs(const placement_option &Option) noexcept {
@@ -306,22 +343,8 @@
   host &State = Step.State;
   if (State.Waiting.Items.empty() || !State.Settings)
     return;
-  pump_state Pump;
-  std::vector<request_number> Order;
-  Order.reserve(State.Waiting.Items.size());
-  for (const auto &[Rank, Number] : State.Waiting.Items)
-    Order.push_back(Number);
-  for (const request_number Number : Order) {
-    target_request *Request = findIn(State.Requests, Number);
-    if (Request == nullptr || !Request->Rank)
-      continue;
-    const placement_class Class{Request->Route.Group, Request->Account,
-                                Request->NeedsPrimary};
-    if (Pump.Blocked.contains(Class))
-      continue;
-    if (admitted(Step, *Request))
-      place(Step, *Request, Pump, Class);
-  }
+  for (const pump_pass Pass : {pump_pass::UseIdle, pump_pass::Dial})
+    runPass(Step, Pass);
 }
 
 } // namespace bronzespar::proxy
--- a/src/proxy/requests.cpp
+++ b/src/proxy/requests.cpp
@@ -271,6 +271,37 @@
 
 namespace {
 
+/// What this host's connections to a group's targets are doing.
+std::string connectionSummary(const host &State, const std::string &Group) {
+  std::map<std::pair<std::string, connection_phase>, unsigned> Counts;
+  for (const auto &[Number, Connection] : State.Connections)
+    if (Connection.Group == Group)
+      Counts[{Connection.Target, Connection.Phase}] += 1;
+  std::string Out;
+  for (const auto &[Key, Count] : Counts)
+    Out += Key.first + ' ' + std::string(enumName(Key.second)) + ' ' +
+           std::to_string(Count) + "; ";
+  return Out;
+}
+
+/// Logs why a request waited in vain.
+void logWait(step_context &Step, const target_request &Request) {
+  const host &State = Step.State;
+  const auto Group = State.Groups.find(Request.Route.Group);
+  const bool Known = Group != State.Groups.end() && Group->second.Record;
+  const std::string Primary = Known ? Group->second.Record->Primary : "";
+  const auto Target = State.Targets.find(Primary);
+  const bool Listed = Target != State.Targets.end();
+  logLine(Step, "statement.waited",
+          {{"request", Request.Id},
+           {"group", Request.Route.Group},
+           {"primary", Primary},
+           {"needs_primary", Request.NeedsPrimary ? "true" : "false"},
+           {"dial_in_ms",
+            Listed ? ageText(Step.Now, Target->second.DialAfter) : "unlisted"},
+           {"connections", connectionSummary(State, Request.Route.Group)}});
+}
+
 std::string waitCause(step_context &Step, const target_request &Request) {
   const group_state *Group = findIn(Step.State.Groups, Request.Route.Group);
   const bool Closed = Group != nullptr && Group->Record && !Group->Record->Open;
@@ -286,6 +317,7 @@
 /// Ends a request whose time is up.
 void expire(step_context &Step, target_request &Request) {
   if (Request.Rank) {
+    logWait(Step, Request);
     const bool Ran = Request.Hedge != 0 || !isNotRun(Request.LastCode);
     if (Request.InTransaction)
       failInTransaction(Step, Request, answer_code::Aborted,
