--- a/include/bronzespar/proxy/allowance.hpp
+++ b/include/bronzespar/proxy/allowance.hpp
@@ -15,12 +15,12 @@
 
 /// \brief One account's tokens on this host.
 struct account_allowance {
-  token_bucket Bucket;     ///< What this host earns.
-  double Received = 0;     ///< Whole tokens from other hosts.
-  instant ReceivedAt{};    ///< Of the newest of them.
-  instant AskAfter{};      ///< Not before this is another host asked.
+  token_bucket Bucket;      ///< What this host earns.
+  double Received = 0;      ///< Whole tokens from other hosts.
+  instant ReceivedAt{};     ///< Of the newest of them.
+  instant AskAfter{};       ///< Not before this is another host asked.
   std::size_t NextPeer = 0; ///< Whom to ask next.
-  double Taken = 0;        ///< Since DemandSince; tells how much to ask for.
+  double Taken = 0;         ///< Since DemandSince; tells how much to ask for.
   instant DemandSince{};
   double DemandPerSecond = 0;
 };
--- a/include/bronzespar/proxy/host.hpp
+++ b/include/bronzespar/proxy/host.hpp
@@ -12,7 +12,7 @@
 struct host_identity {
   std::string Name;
   std::string DataCentre;
-  endpoint Peers;                ///< Where other hosts reach it.
+  endpoint Peers; ///< Where other hosts reach it.
   duration MinimumLease = std::chrono::seconds(1);
   duration GracePeriod = std::chrono::seconds(6);
   duration DrainPeriod = std::chrono::seconds(7);
--- a/include/bronzespar/proxy/interface.hpp
+++ b/include/bronzespar/proxy/interface.hpp
@@ -7,6 +7,7 @@
 #include <bronzespar/proxy/settings.hpp>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -52,6 +53,27 @@
   double Tokens = 0;
 };
 
+/// \brief Whether a forwarded statement opens a transaction.
+enum class forward_begin { None, Begin, BeginRead };
+BOOST_DESCRIBE_ENUM(forward_begin, None, Begin, BeginRead)
+
+/// \brief A statement for the host that owns a target's connections.
+struct forwarded_statement {
+  std::string Id;
+  std::string Group;
+  std::string Account;
+  std::string Target;
+  std::map<std::string, std::string> Values; ///< Of the caller's session.
+  std::string Shape; ///< That the statement executes, if it executes one.
+  statement Statement;
+  std::optional<log_position> NotBefore;
+  forward_begin Begins = forward_begin::None;
+  bool InTransaction = false;
+  bool MustLead = false; ///< Only while the owner may use it as primary.
+  int Priority = 0;
+  duration TimeLeft{};
+};
+
 namespace events {
 
 struct session_opened {
@@ -138,6 +160,21 @@
   bool Accepted = false;
 };
 
+/// \brief Another host asks this one, as the owner, to run a statement.
+struct forward_asked {
+  std::string Link; ///< Connection of the asking host.
+  connection_number Ticket = 0;
+  forwarded_statement What;
+};
+struct forward_ended {
+  std::string Link;
+  connection_number Ticket = 0;
+};
+/// \brief A connection with another host is gone, and its sessions with it.
+struct peer_lost {
+  std::string Link; ///< "address:port" when this host had dialled.
+};
+
 struct tokens_asked {
   std::string Host;
   token_transfer Wanted;
@@ -153,18 +190,16 @@
 
 } // namespace events
 
-using event =
-    std::variant<events::session_opened, events::statement_arrived,
-                 events::session_closed, events::target_ready,
-                 events::target_refused, events::target_answered,
-                 events::target_lost, events::target_probed,
-                 events::settings_changed, events::targets_listed,
-                 events::store_reached, events::isolation_changed,
-                 events::record_changed,
-                 events::record_removed, events::records_read,
-                 events::change_ended, events::lease_answered,
-                 events::promotion_answered, events::tokens_asked,
-                 events::tokens_granted, events::stop_requested, events::tick>;
+using event = std::variant<
+    events::session_opened, events::statement_arrived, events::session_closed,
+    events::target_ready, events::target_refused, events::target_answered,
+    events::target_lost, events::target_probed, events::settings_changed,
+    events::targets_listed, events::store_reached, events::isolation_changed,
+    events::record_changed, events::record_removed, events::records_read,
+    events::change_ended, events::lease_answered, events::promotion_answered,
+    events::forward_asked, events::forward_ended, events::peer_lost,
+    events::tokens_asked, events::tokens_granted, events::stop_requested,
+    events::tick>;
 
 namespace effects {
 
@@ -234,6 +269,27 @@
   std::uint64_t FencingToken = 0;
 };
 
+/// \brief Have a target's owner run a statement; answered by target_answered
+/// or target_lost of the connection that Ticket names.
+struct forward {
+  endpoint Owner;
+  connection_number Ticket = 0;
+  forwarded_statement What;
+};
+struct end_forward {
+  endpoint Owner;
+  connection_number Ticket = 0;
+};
+/// \brief End a connection with a silent host; peer_lost follows.
+struct drop_peer {
+  endpoint Peer;
+};
+struct answer_forward {
+  std::string Link;
+  connection_number Ticket = 0;
+  answer Answer;
+};
+
 struct ask_tokens {
   endpoint Host;
   token_transfer Wanted;
@@ -272,16 +328,15 @@
 
 } // namespace effects
 
-using effect =
-    std::variant<effects::accept_session, effects::refuse_session,
-                 effects::answer_caller, effects::close_session,
-                 effects::open_target, effects::send_target,
-                 effects::close_target, effects::probe_target,
-                 effects::change_records, effects::read_records,
-                 effects::grant_lease, effects::renew_lease, effects::end_lease,
-                 effects::order_promotion, effects::ask_tokens,
-                 effects::grant_tokens, effects::set_peers, effects::set_ready, effects::write_log,
-                 effects::record_outcome, effects::stop_process>;
+using effect = std::variant<
+    effects::accept_session, effects::refuse_session, effects::answer_caller,
+    effects::close_session, effects::open_target, effects::send_target,
+    effects::close_target, effects::probe_target, effects::change_records,
+    effects::read_records, effects::grant_lease, effects::renew_lease,
+    effects::end_lease, effects::order_promotion, effects::forward, effects::end_forward,
+    effects::drop_peer, effects::answer_forward, effects::ask_tokens,
+    effects::grant_tokens, effects::set_peers, effects::set_ready,
+    effects::write_log, effects::record_outcome, effects::stop_process>;
 using effect_list = std::vector<effect>;
 
 } // namespace bronzespar::proxy
--- a/include/bronzespar/proxy/messages.hpp
+++ b/include/bronzespar/proxy/messages.hpp
@@ -36,9 +36,9 @@
 /// \brief A statement, with its text as the caller wrote it.
 struct statement {
   statement_kind Kind = statement_kind::Unknown;
-  std::string Text; ///< Unchanged; reads and writes are passed on with it.
-  std::string Name; ///< Of the value or of the prepared shape.
-  std::string Rest; ///< Value, shape, or arguments of the prepared shape.
+  std::string Text;    ///< Unchanged; reads and writes are passed on with it.
+  std::string Name;    ///< Of the value or of the prepared shape.
+  std::string Rest;    ///< Value, shape, or arguments of the prepared shape.
   bool Writes = false; ///< Write, or Prepare of a shape that writes.
 };
 
--- a/programs/sessiond/main.cpp
+++ b/programs/sessiond/main.cpp
@@ -50,8 +50,8 @@
       "help", "show this text")("version", "show the version");
   try {
     options::variables_map Given;
-    options::store(
-        options::parse_command_line(ArgumentCount, Arguments, Known), Given);
+    options::store(options::parse_command_line(ArgumentCount, Arguments, Known),
+                   Given);
     options::notify(Given);
     if (Given.contains("help")) {
       std::cout << "Usage: bronzespar-sessiond [--settings FILE]\n" << Known;
--- a/src/proxy/allowance.cpp
+++ b/src/proxy/allowance.cpp
@@ -81,10 +81,10 @@
   fillBucket(Allowance.Bucket, Now);
   if (Now < Allowance.AskAfter)
     return 0;
-  const double Demand =
-      std::max(Allowance.DemandPerSecond,
-               Allowance.Taken / std::max(toSeconds(Now - Allowance.DemandSince),
-                                          toSeconds(DemandSpan)));
+  const double Demand = std::max(
+      Allowance.DemandPerSecond,
+      Allowance.Taken / std::max(toSeconds(Now - Allowance.DemandSince),
+                                 toSeconds(DemandSpan)));
   const double Held = Allowance.Bucket.Tokens + Allowance.Received;
   if (Demand <= 0 || Held >= std::max(1.0, Demand * LowSeconds))
     return 0;
@@ -101,7 +101,8 @@
   fillBucket(Allowance.Bucket, Now);
   const double Spare =
       Allowance.Bucket.Tokens - Allowance.DemandPerSecond * KeepSeconds;
-  const double Given = std::floor(std::clamp(Wanted, 0.0, std::max(Spare, 0.0)));
+  const double Given =
+      std::floor(std::clamp(Wanted, 0.0, std::max(Spare, 0.0)));
   Allowance.Bucket.Tokens -= Given;
   return Given;
 }
@@ -119,9 +120,8 @@
 duration untilOwnToken(const allowance_table &Table, const std::string &Account,
                        instant Now) {
   const auto Found = Table.Accounts.find(Account);
-  return Found == Table.Accounts.end()
-             ? duration::zero()
-             : untilToken(Found->second.Bucket, Now);
+  return Found == Table.Accounts.end() ? duration::zero()
+                                       : untilToken(Found->second.Bucket, Now);
 }
 
 } // namespace bronzespar::proxy
--- a/src/proxy/connections.cpp
+++ b/src/proxy/connections.cpp
@@ -31,6 +31,8 @@
 constexpr std::size_t MaxShapes = 48;
 /// An answer that nobody waits for holds its connection no longer.
 constexpr duration AbandonedLimit = std::chrono::seconds(2);
+/// Unused connections to a target that another host owns.
+constexpr duration ForeignIdle = std::chrono::milliseconds(200);
 /// Unused connections are closed after this, so that others may connect.
 constexpr duration IdleLimit = std::chrono::seconds(15);
 
@@ -44,19 +46,6 @@
   Connection.IdleSince = Step.Now;
 }
 
-void forget(step_context &Step, connection_number Number) {
-  target_connection *Connection = findIn(Step.State.Connections, Number);
-  if (Connection == nullptr)
-    return;
-  if (target_view *Target = targetOf(Step, *Connection)) {
-    if (Target->Connections > 0)
-      Target->Connections -= 1;
-    if (Connection->Phase == connection_phase::Running && Target->Running > 0)
-      Target->Running -= 1;
-  }
-  Step.State.Connections.erase(Number);
-}
-
 void sendMain(step_context &Step, target_connection &Connection,
               target_request &Request) {
   outgoing_statement Out;
@@ -75,8 +64,7 @@
   Connection.SentAt = Step.Now;
   if (target_view *Target = targetOf(Step, Connection))
     Target->Running += 1;
-  Step.Out.push_back(
-      effects::send_target{Connection.Number, {std::move(Out)}});
+  Step.Out.push_back(effects::send_target{Connection.Number, {std::move(Out)}});
 }
 
 statement ownStatement(statement_kind Kind, std::string Name = {},
@@ -137,8 +125,7 @@
   Connection.SetupFault = answer_code::Complete;
   Connection.SetupSpoilt = false;
   Connection.SentAt = Step.Now;
-  Step.Out.push_back(
-      effects::send_target{Connection.Number, std::move(Setup)});
+  Step.Out.push_back(effects::send_target{Connection.Number, std::move(Setup)});
 }
 
 void learnPosition(step_context &Step, target_connection &Connection,
@@ -165,8 +152,7 @@
   }
   if (Connection.SetupLeft > 0)
     return;
-  target_request *Request =
-      findIn(Step.State.Requests, Connection.Request);
+  target_request *Request = findIn(Step.State.Requests, Connection.Request);
   const bool Wanted = Request != nullptr && Request->Session != 0;
   if (Wanted && Connection.SetupFault == answer_code::Complete) {
     sendMain(Step, Connection, *Request);
@@ -189,9 +175,8 @@
   if (Wanted && Request->InTransaction)
     Step.State.Sessions.at(Request->Session).Transaction->Connection = 0;
   Request->Avoid.insert(Target);
-  attemptFailed(Step, *Request, Fault == answer_code::Complete
-                                    ? answer_code::Busy
-                                    : Fault,
+  attemptFailed(Step, *Request,
+                Fault == answer_code::Complete ? answer_code::Busy : Fault,
                 true);
 }
 
@@ -239,6 +224,8 @@
   const bool OwnerLeft = Owner == 0 || !Step.State.Sessions.contains(Owner);
   if (LeftOpen && OwnerLeft && Still->Phase == connection_phase::Resting)
     endOnTarget(Step, *Still);
+  else if (Still->Owner && Still->Phase == connection_phase::Idle)
+    forgetConnection(Step, Number);
 }
 
 bool dialOverdue(const target_connection &Connection, instant Now) {
@@ -255,10 +242,14 @@
 }
 
 /// Whether an unused connection is closed now.
-bool givesUpIdle(const target_view *Target, const target_connection &Connection,
-                 instant Now) {
+bool givesUpIdle(const host &State, target_view *Target,
+                 const target_connection &Connection, instant Now) {
   if (Target == nullptr || !Target->Listed || Target->Entry.Draining)
     return true;
+  const bool Foreign = areConnectionsOwned(State, Connection.Group) &&
+                       !ownsTarget(State, *Target);
+  if (Foreign)
+    return Now > Connection.IdleSince + ForeignIdle;
   const bool Crowded = Now < Target->CrowdedUntil;
   return Now > Connection.IdleSince + (Crowded ? CrowdedIdle : IdleLimit);
 }
@@ -288,6 +279,27 @@
 
 } // namespace
 
+void forgetConnection(step_context &Step, connection_number Number) {
+  target_connection *Connection = findIn(Step.State.Connections, Number);
+  if (Connection == nullptr)
+    return;
+  if (target_view *Target = targetOf(Step, *Connection)) {
+    if (Target->Connections > 0 && !Connection->Owner)
+      Target->Connections -= 1;
+    if (Connection->Phase == connection_phase::Running && Target->Running > 0)
+      Target->Running -= 1;
+  }
+  Step.State.Connections.erase(Number);
+}
+
+void emitClose(step_context &Step, const target_connection &Connection) {
+  if (Connection.Owner)
+    Step.Out.push_back(
+        effects::end_forward{*Connection.Owner, Connection.Number});
+  else
+    Step.Out.push_back(effects::close_target{Connection.Number});
+}
+
 void dialTarget(step_context &Step, target_view &Target,
                 const std::string &Account) {
   target_connection Connection;
@@ -332,10 +344,18 @@
   Request.TokenTaken = false;
   Connection.Request = Request.Number;
   Connection.Opens = false;
+  if (Connection.Owner) {
+    forwardOn(Step, Connection, Request);
+    return;
+  }
   sendSetup(Step, Connection, Request, setupFor(Connection, Session, Request));
 }
 
 void endOnTarget(step_context &Step, target_connection &Connection) {
+  if (Connection.Owner) {
+    closeConnection(Step, Connection.Number);
+    return;
+  }
   Connection.Session = 0;
   switch (Connection.Phase) {
   case connection_phase::Resting:
@@ -356,10 +376,11 @@
 }
 
 void closeConnection(step_context &Step, connection_number Number) {
-  if (!Step.State.Connections.contains(Number))
+  const target_connection *Connection = findIn(Step.State.Connections, Number);
+  if (Connection == nullptr)
     return;
-  Step.Out.push_back(effects::close_target{Number});
-  forget(Step, Number);
+  emitClose(Step, *Connection);
+  forgetConnection(Step, Number);
 }
 
 void targetReady(step_context &Step, const events::target_ready &What) {
@@ -390,7 +411,7 @@
              {"code", std::string(enumName(What.Code))},
              {"connections", std::to_string(Target->Connections)}});
   }
-  forget(Step, What.Connection);
+  forgetConnection(Step, What.Connection);
 }
 
 void targetAnswered(step_context &Step, events::target_answered &&What) {
@@ -398,7 +419,12 @@
       findIn(Step.State.Connections, What.Connection);
   if (Connection == nullptr)
     return;
-  if (target_view *Target = targetOf(Step, *Connection)) {
+  if (Connection->Owner)
+    Step.State.OwnersAnsweredAt[*Connection->Owner] = Step.Now;
+  // An owner's refusal says nothing of the target.
+  const bool Speaks = !Connection->Owner || !isNotRun(What.Answer.Code);
+  if (target_view *Target = targetOf(Step, *Connection);
+      Target != nullptr && Speaks) {
     Target->AnsweredAt = Step.Now;
     noteReachability(Step, *Target, true);
   }
@@ -427,7 +453,7 @@
   if (Found == nullptr)
     return;
   const target_connection Lost = *Found;
-  forget(Step, Number);
+  forgetConnection(Step, Number);
   target_view *Target = findIn(Step.State.Targets, Lost.Target);
   if (Lost.Phase == connection_phase::Dialling) {
     if (Target != nullptr)
@@ -453,10 +479,11 @@
       Close.push_back(Number);
       continue;
     }
+    watchOwner(Step, Connection);
     const bool Idle = Connection.Phase == connection_phase::Idle;
-    const target_view *Target = targetOf(Step, Connection);
+    target_view *Target = targetOf(Step, Connection);
     if (abandoned(Connection, Step.Now) ||
-        (Idle && givesUpIdle(Target, Connection, Step.Now)))
+        (Idle && givesUpIdle(Step.State, Target, Connection, Step.Now)))
       Close.push_back(Number);
   }
   for (const connection_number Number : Close)
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -25,6 +25,7 @@
   supervisePromotions(Step);
   dropAbsentTargets(Step);
   superviseConnections(Step);
+  dropSilentOwners(Step);
   expireRequests(Step);
   endIdleTransactions(Step);
   askForTokens(Step);
@@ -78,6 +79,13 @@
   void operator()(events::promotion_answered &What) {
     promotionAnswered(Step, What);
   }
+  void operator()(events::forward_asked &What) {
+    forwardAsked(Step, std::move(What));
+  }
+  void operator()(events::forward_ended &What) {
+    forwardEnded(Step, {What.Link, What.Ticket});
+  }
+  void operator()(events::peer_lost &What) { peerLost(Step, What.Link); }
   void operator()(events::tokens_asked &What) { tokensAsked(Step, What); }
   void operator()(events::tokens_granted &What) { tokensGranted(Step, What); }
   void operator()(events::stop_requested &) { requestStop(Step); }
--- a/src/proxy/listing.cpp
+++ b/src/proxy/listing.cpp
@@ -16,7 +16,7 @@
     if (Connection.Target == Target)
       Numbers.push_back(Number);
   for (const connection_number Number : Numbers) {
-    Step.Out.push_back(effects::close_target{Number});
+    emitClose(Step, Step.State.Connections.at(Number));
     targetLost(Step, Number);
   }
 }
@@ -34,10 +34,9 @@
 void adoptEntry(step_context &Step, target_entry &&Entry) {
   const auto [Found, IsNew] = Step.State.Targets.try_emplace(Entry.Id);
   target_view &Target = Found->second;
-  const bool Restarted =
-      !IsNew && (Target.Entry.StartedAt != Entry.StartedAt ||
-                 Target.Entry.Where != Entry.Where ||
-                 Target.Entry.Group != Entry.Group);
+  const bool Restarted = !IsNew && (Target.Entry.StartedAt != Entry.StartedAt ||
+                                    Target.Entry.Where != Entry.Where ||
+                                    Target.Entry.Group != Entry.Group);
   const bool Changed = IsNew || Restarted || !Target.Listed ||
                        Target.Entry.Draining != Entry.Draining ||
                        Target.Entry.SaysPrimary != Entry.SaysPrimary;
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -17,7 +17,14 @@
 void drainBacklog(step_context &Step, caller_session &Session);
 void endIdleTransactions(step_context &Step);
 
+/// \brief Answers the statement that is outstanding, wherever its caller is.
+void answerSession(step_context &Step, const caller_session &Session,
+                   answer Answer);
+
 // Requests (requests.cpp).
+/// \brief Sends a request on its transaction's connection or lets it wait.
+void launchRequest(step_context &Step, caller_session &Session,
+                   target_request Request);
 void startRequest(step_context &Step, caller_session &Session, std::string Id,
                   statement Statement);
 /// \brief Answers the caller and forgets the request.
@@ -35,7 +42,36 @@
 [[nodiscard]] std::optional<log_position>
 provenPosition(const host &State, const target_request &Request, instant Now);
 
+// Owners of targets' connections (owners.cpp).
+/// \brief Whether one host owns each target's connections, since there are too
+/// few for every host and account.
+[[nodiscard]] bool areConnectionsOwned(const host &State,
+                                       const std::string &Group);
+/// \brief The host to ask for a target, or nothing when it is this host.
+[[nodiscard]] std::optional<endpoint> ownerOf(const host &State,
+                                              target_view &Target, instant Now);
+/// \brief Whether this host owns a target, silent owners apart.
+[[nodiscard]] bool ownsTarget(const host &State, target_view &Target);
+void forwardRequest(step_context &Step, target_view &Target,
+                    const endpoint &Owner, target_request &Request,
+                    std::optional<log_position> NotBefore);
+void forwardOn(step_context &Step, target_connection &Connection,
+               target_request &Request);
+void forwardAsked(step_context &Step, events::forward_asked &&What);
+void forwardEnded(step_context &Step, const forward_origin &Origin);
+/// \brief Forgets a forwarded session that has nothing open.
+void settleForward(step_context &Step, caller_session &Session);
+void peerLost(step_context &Step, const std::string &Link);
+/// \brief Stops asking owners that let a statement wait without any answer.
+void watchOwner(step_context &Step, const target_connection &Connection);
+/// \brief Ends connections to owners that have been silent for long.
+void dropSilentOwners(step_context &Step);
+
 // Connections to targets (connections.cpp).
+/// \brief Forgets a connection whose far end is told by an effect or gone.
+void forgetConnection(step_context &Step, connection_number Number);
+/// \brief Has the adapters end a connection; it stays in the state.
+void emitClose(step_context &Step, const target_connection &Connection);
 void dialTarget(step_context &Step, target_view &Target,
                 const std::string &Account);
 void beginAttempt(step_context &Step, target_connection &Connection,
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -31,12 +31,16 @@
 /// A new primary answers about this long before it is announced.
 constexpr duration ChangeSlack = std::chrono::milliseconds(50);
 
+/// Statements that an owner leaves waiting at the target, so that its slots are
+/// never idle for a round trip.
+constexpr unsigned QueuedAtTarget = 2;
+
 /// Requests alike in all that placement looks at.
 using placement_class = std::tuple<std::string, std::string, bool>;
 
 /// First, statements take the connections that there are; only then are
-/// connections made or closed for the rest. In one pass, a statement at the head
-/// would close the connection that was made for another one.
+/// connections made or closed for the rest. In one pass, a statement at the
+/// head would close the connection that was made for another one.
 enum class pump_pass { UseIdle, Dial };
 
 struct pump_state {
@@ -52,12 +56,20 @@
 };
 
 /// Hosts leave half of a target's connections free: after a loss of power the
-/// target holds the dead ones for seconds, and hosts that start again need room.
-connection_share connectionShare(const host &State, const std::string &Group) {
+/// target holds the dead ones for seconds, and hosts that start again need
+/// room.
+connection_share connectionShare(const host &State, target_view &Target) {
+  const std::string &Group = Target.Entry.Group;
   const group_limits *Limits = findIn(State.Settings->Groups, Group);
   const std::size_t Hosts = std::max<std::size_t>(State.Hosts.size(), 1);
   const unsigned All = Limits == nullptr ? 1 : Limits->MaxConnections;
   connection_share Share;
+  if (areConnectionsOwned(State, Group)) {
+    const bool Owns = ownsTarget(State, Target);
+    Share.Usual = Owns ? std::max(1U, All / 2) : 1;
+    Share.Most = Owns ? std::max(1U, All * 3 / 4) : 1;
+    return Share;
+  }
   Share.Most = std::max(1U, static_cast<unsigned>(All / Hosts));
   Share.Usual = std::max(1U, static_cast<unsigned>(All / (2 * Hosts)));
   return Share;
@@ -105,6 +117,18 @@
   std::optional<log_position> NotBefore;
 };
 
+/// The target that another host chose, if it may be used as that host means.
+void addOnlyTarget(step_context &Step, const target_request &Request,
+                   const group_state &Group, bool Leased,
+                   std::vector<candidate> &Out) {
+  target_view *Target = findIn(Step.State.Targets, Request.OnlyTarget);
+  if (Target == nullptr || !Target->Listed)
+    return;
+  const bool IsPrimary = Group.Record->Primary == Request.OnlyTarget;
+  if (Request.NeedsPrimary ? IsPrimary && Leased : !Target->Entry.Draining)
+    Out.push_back({Target, Request.NotBefore});
+}
+
 /// Targets that may run the request now, with the position that each must
 /// cover.
 std::vector<candidate> candidatesFor(step_context &Step,
@@ -115,12 +139,19 @@
   if (Group == nullptr || !Group->Record)
     return Out;
   const bool Leased = mayUsePrimary(State, Request.Route.Group, Step.Now);
+  if (!Request.OnlyTarget.empty()) {
+    addOnlyTarget(Step, Request, *Group, Leased, Out);
+    return Out;
+  }
   const auto Proven = provenPosition(State, Request, Step.Now);
   for (auto &[Id, Target] : State.Targets) {
     if (Target.Entry.Group != Request.Route.Group || !Target.Listed)
       continue;
     const bool IsPrimary = Group->Record->Primary == Id;
-    if (IsPrimary && Leased) {
+    // An owner uses a primary under its own lease.
+    const bool OwnerMay = Group->Record->Open &&
+                          ownerOf(State, Target, Step.Now).has_value();
+    if (IsPrimary && (Leased || OwnerMay)) {
       if (Request.NeedsPrimary || !Request.Avoid.contains(Id))
         Out.push_back({&Target, std::nullopt});
       continue;
@@ -138,7 +169,7 @@
                            const caller_session &Session,
                            const candidate &Candidate, std::size_t Index) {
   host &State = Step.State;
-  const target_view &Target = *Candidate.Target;
+  target_view &Target = *Candidate.Target;
   placement_option Option;
   Option.Target = Index;
   Option.LatencyMs = Target.LatencyMs;
@@ -146,11 +177,19 @@
   Option.SameDataCentre = Target.Entry.DataCentre == State.Identity.DataCentre;
   Option.RecentlyFull = Target.BusyUntil > Step.Now;
   Option.SparePrimary = !Request.NeedsPrimary && !Candidate.NotBefore;
-  if (const auto *Idle = idleConnection(State, Target.Entry.Id, Request.Account,
-                                        Session))
+  if (Request.OnlyTarget.empty() && ownerOf(State, Target, Step.Now)) {
+    Option.IsForwarded = true;
+    return Option;
+  }
+  // The owner keeps statements in its own order, not in the target's.
+  if (areConnectionsOwned(State, Target.Entry.Group) &&
+      Target.Running >= Target.Entry.Slots + QueuedAtTarget)
+    return Option;
+  if (const auto *Idle =
+          idleConnection(State, Target.Entry.Id, Request.Account, Session))
     Option.Connection = Idle->Number;
   const bool Room =
-      Target.Connections < connectionShare(State, Request.Route.Group).Most;
+      Target.Connections < connectionShare(State, Target).Most;
   Option.CanDial = Target.DialAfter <= Step.Now &&
                    (Room || evictable(State, Target.Entry.Id) != nullptr);
   return Option;
@@ -200,6 +239,10 @@
   host &State = Step.State;
   const caller_session &Session = State.Sessions.at(Request.Session);
   const auto Candidates = candidatesFor(Step, Request);
+  if (Candidates.empty() && !Request.OnlyTarget.empty()) {
+    attemptFailed(Step, Request, answer_code::ReadOnly, true);
+    return;
+  }
   if (Candidates.empty()) {
     if (const auto Cause = hopeless(Step, Request)) {
       refuseWaiting(Step, Request, *Cause);
@@ -215,10 +258,11 @@
     Options.push_back(
         optionFor(Step, Request, Session, Candidates[Index], Index));
   auto Chosen = choosePlacement(Options);
-  if (Pump.Pass == pump_pass::UseIdle && Chosen && Chosen->Connection == 0) {
+  if (Pump.Pass == pump_pass::UseIdle && Chosen && !Chosen->IsForwarded &&
+      Chosen->Connection == 0) {
     // A connection at a place that is not the best may do, before a dial.
     std::erase_if(Options, [](const placement_option &Option) {
-      return Option.Connection == 0;
+      return Option.Connection == 0 && !Option.IsForwarded;
     });
     Chosen = Options.empty() ? Chosen : choosePlacement(Options);
   }
@@ -227,6 +271,13 @@
     return;
   }
   target_view &Target = *Candidates[Chosen->Target].Target;
+  if (Chosen->IsForwarded) {
+    serve(State.Waiting, *Request.Rank);
+    Request.Rank.reset();
+    forwardRequest(Step, Target, *ownerOf(State, Target, Step.Now), Request,
+                   Candidates[Chosen->Target].NotBefore);
+    return;
+  }
   if (Chosen->Connection != 0) {
     serve(State.Waiting, *Request.Rank);
     Request.Rank.reset();
@@ -239,7 +290,7 @@
   const unsigned Ahead = Pump.Unplaced[Class]++;
   if (diallingFor(State, Request.Route.Group, Request.Account) > Ahead)
     return;
-  if (Target.Connections >= connectionShare(State, Request.Route.Group).Usual)
+  if (Target.Connections >= connectionShare(State, Target).Usual)
     if (const auto *Old = evictable(State, Target.Entry.Id))
       closeConnection(Step, Old->Number);
   dialTarget(Step, Target, Request.Account);
@@ -290,12 +341,12 @@
 } // namespace
 
 std::optional<double> expectedMs(const placement_option &Option) noexcept {
-  if (Option.Connection == 0 && !Option.CanDial)
+  if (Option.Connection == 0 && !Option.CanDial && !Option.IsForwarded)
     return std::nullopt;
   double Expected = Option.LatencyMs * (1 + 0.5 * Option.Running);
   if (Option.SparePrimary)
     Expected = Expected * PrimaryFactor + PrimaryMs;
-  if (Option.Connection == 0)
+  if (Option.Connection == 0 && !Option.IsForwarded)
     Expected += DialMs;
   if (!Option.SameDataCentre)
     Expected += OtherDataCentreMs;
@@ -313,14 +364,13 @@
     if (!Expected || (Best && *Expected >= Least))
       continue;
     Least = *Expected;
-    Best = placement{Option.Target, Option.Connection};
+    Best = placement{Option.Target, Option.Connection, Option.IsForwarded};
   }
   return Best;
 }
 
-std::optional<log_position> provenPosition(const host &State,
-                                           const target_request &Request,
-                                           instant Now) {
+std::optional<log_position>
+provenPosition(const host &State, const target_request &Request, instant Now) {
   if (Request.Route.Rule == read_rule::Primary)
     return std::nullopt;
   const auto Group = State.Groups.find(Request.Route.Group);
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -1,8 +1,8 @@
 /// This host's lease, and the right to use primaries that it carries.
 ///
 /// A host uses a group's primary only while its lease is valid and the group's
-/// record is open. The lease counts from the sending of the call that proved it,
-/// so it has ended here before it has ended in the store. Whoever orders a
+/// record is open. The lease counts from the sending of the call that proved
+/// it, so it has ended here before it has ended in the store. Whoever orders a
 /// promotion closes the record first and waits for each host's acknowledgement
 /// or the end of its lease.
 #include "parts.hpp"
@@ -66,7 +66,7 @@
   for (const connection_number Number : Numbers) {
     if (!Step.State.Connections.contains(Number))
       continue;
-    Step.Out.push_back(effects::close_target{Number});
+    emitClose(Step, Step.State.Connections.at(Number));
     targetLost(Step, Number);
   }
 }
@@ -87,6 +87,7 @@
   host_record Record;
   Record.Peers = State.Identity.Peers;
   Record.DataCentre = State.Identity.DataCentre;
+  Record.Leaving = State.Stopping;
   for (const auto &[Name, Group] : State.Groups) {
     if (Group.Record && !Group.Record->Open && Group.Acknowledged > 0)
       Record.Acknowledged[Name] = Group.Acknowledged;
@@ -164,6 +165,7 @@
       !Lease.Registered.empty())
     Lease.Registered = Record.Value;
   const std::size_t Before = Step.State.Hosts.size();
+  Step.State.HostsVersion += 1;
   Step.State.Hosts[Name] = {std::move(*Parsed), Record.Lease};
   if (Step.State.Hosts.size() != Before) {
     divideAmongHosts(Step);
@@ -245,6 +247,7 @@
 void recordRemoved(step_context &Step, const std::string &Key) {
   if (Key.starts_with(HostsPrefix)) {
     Step.State.Hosts.erase(Key.substr(HostsPrefix.size()));
+    Step.State.HostsVersion += 1;
     divideAmongHosts(Step);
     listPeers(Step);
   } else if (Key == DutyKey) {
@@ -273,6 +276,7 @@
     if (!What.Answered)
       return;
     Step.State.Hosts.clear();
+    Step.State.HostsVersion += 1;
     for (const store_record &Record : What.Records)
       recordChanged(Step, Record);
     return;
@@ -302,9 +306,9 @@
     return;
   const duration Failing = Step.Now - Target.FirstDialFailure;
   const bool Silent = Failing >= SilentDial;
-  const bool Blind =
-      !Answered && Step.Now - Target.AnsweredAt >= BlindAfter &&
-      (Silent || (Target.DialFailures >= BlindFailures && Failing >= BlindAfter));
+  const bool Blind = !Answered && Step.Now - Target.AnsweredAt >= BlindAfter &&
+                     (Silent || (Target.DialFailures >= BlindFailures &&
+                                 Failing >= BlindAfter));
   if (Answered == !Group->Blind || (!Answered && !Blind))
     return;
   Group->Blind = !Answered;
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -42,7 +42,7 @@
 }
 
 void changeRecord(step_context &Step, const std::string &Name,
-                  group_state &Group, group_record Record) {
+                  group_state &Group, const group_record &Record) {
   Group.Promotion.Call = nextNumber(Step.State);
   effects::change_records Change;
   Change.Call = Group.Promotion.Call;
@@ -114,9 +114,8 @@
            {"blind_hosts", std::to_string(blindHosts(Step.State, Name))},
            {"hosts", std::to_string(Step.State.Hosts.size())}});
   enter(Step, Name, Group, promotion_stage::Closing);
-  changeRecord(
-      Step, Name, Group,
-      {Group.Record->Generation + 1, Group.Record->Primary, false});
+  changeRecord(Step, Name, Group,
+               {Group.Record->Generation + 1, Group.Record->Primary, false});
 }
 
 /// Reads which hosts may still use the old primary.
@@ -144,8 +143,7 @@
     if (!Target.Listed || Target.Entry.Group != Name)
       continue;
     Group.Promotion.ProbesLeft += 1;
-    Step.Out.push_back(
-        effects::probe_target{Id, Name, Target.Entry.Where});
+    Step.Out.push_back(effects::probe_target{Id, Name, Target.Entry.Where});
   }
   Group.Promotion.NextProbe = Step.Now + ProbeTime;
 }
@@ -193,9 +191,8 @@
   Group.Promotion.Candidate = Candidate;
   enter(Step, Name, Group, promotion_stage::Ordered);
   Group.Promotion.NextProbe = Step.Now + EarliestLead;
-  Step.Out.push_back(effects::order_promotion{Name, Candidate,
-                                              Step.State.Identity.Name,
-                                              Step.State.Duty.Token});
+  Step.Out.push_back(effects::order_promotion{
+      Name, Candidate, Step.State.Identity.Name, Step.State.Duty.Token});
 }
 
 /// The replica that received most, of those that may lead.
@@ -204,8 +201,8 @@
   const std::pair<const std::string, target_status> *Best = nullptr;
   for (const auto &Entry : Group.Promotion.Statuses) {
     const auto Target = State.Targets.find(Entry.first);
-    if (Entry.first == Group.Record->Primary ||
-        Target == State.Targets.end() || Target->second.Entry.Draining ||
+    if (Entry.first == Group.Record->Primary || Target == State.Targets.end() ||
+        Target->second.Entry.Draining ||
         Group.Promotion.Refused.contains(Entry.first))
       continue;
     if (Best == nullptr || Entry.second.Received > Best->second.Received)
@@ -218,8 +215,7 @@
   promotion_state &Promotion = Group.Promotion;
   const auto &OldName = Group.Record->Primary;
   // An unplanned change does not wait for the primary that was lost.
-  const bool OnlyOldMissing = !Promotion.Planned &&
-                              Promotion.ProbesLeft == 1 &&
+  const bool OnlyOldMissing = !Promotion.Planned && Promotion.ProbesLeft == 1 &&
                               !Promotion.Statuses.contains(OldName) &&
                               !Promotion.Statuses.empty();
   if (Promotion.ProbesLeft > 0 && !OnlyOldMissing &&
@@ -258,8 +254,7 @@
 void awaitLead(step_context &Step, const std::string &Name,
                group_state &Group) {
   promotion_state &Promotion = Group.Promotion;
-  const target_status *Status =
-      findIn(Promotion.Statuses, Promotion.Candidate);
+  const target_status *Status = findIn(Promotion.Statuses, Promotion.Candidate);
   if (Status != nullptr && Status->IsPrimary &&
       Step.Now >= Promotion.Since + EarliestLead) {
     openRecord(Step, Name, Group, Promotion.Candidate);
@@ -272,8 +267,7 @@
   }
   if (Step.Now < Promotion.NextProbe)
     return;
-  const target_view *Target =
-      findIn(Step.State.Targets, Promotion.Candidate);
+  const target_view *Target = findIn(Step.State.Targets, Promotion.Candidate);
   Promotion.NextProbe = Step.Now + ProbePause;
   if (Target == nullptr)
     return;
--- a/src/proxy/rates.cpp
+++ b/src/proxy/rates.cpp
@@ -20,8 +20,8 @@
   const std::size_t Others = State.Hosts.size();
   for (std::size_t Try = 0; Try < Others; ++Try) {
     const std::size_t Index = Allowance.NextPeer++ % Others;
-    const auto Peer = std::next(State.Hosts.begin(),
-                                static_cast<std::ptrdiff_t>(Index));
+    const auto Peer =
+        std::next(State.Hosts.begin(), static_cast<std::ptrdiff_t>(Index));
     if (Peer->first != State.Identity.Name)
       return &Peer->second;
   }
--- a/src/proxy/records.cpp
+++ b/src/proxy/records.cpp
@@ -45,6 +45,7 @@
   return json::serialize(json::object{{"peers", toText(Record.Peers)},
                                       {"data_centre", Record.DataCentre},
                                       {"acknowledged", Acknowledged},
+                                      {"leaving", Record.Leaving},
                                       {"blind", Blind}});
 }
 
@@ -70,6 +71,9 @@
   host_record Record;
   if (const auto Where = parseEndpoint(std::string_view(Peers->as_string())))
     Record.Peers = *Where;
+  if (const json::value *Leaving = Object->if_contains("leaving");
+      Leaving != nullptr && Leaving->is_bool())
+    Record.Leaving = Leaving->as_bool();
   if (const json::value *Place = Object->if_contains("data_centre");
       Place != nullptr && Place->is_string())
     Record.DataCentre = std::string_view(Place->as_string());
--- a/src/proxy/records.hpp
+++ b/src/proxy/records.hpp
@@ -28,6 +28,7 @@
 struct host_record {
   endpoint Peers;
   std::string DataCentre;
+  bool Leaving = false; ///< Owns no connections any more.
   /// Closed generations for which the host has stopped using the primary.
   std::map<std::string, std::uint64_t> Acknowledged;
   /// Primaries that it cannot reach, by group.
--- a/src/proxy/requests.cpp
+++ b/src/proxy/requests.cpp
@@ -145,17 +145,21 @@
       if (Session.Transaction)
         failTransaction(Step, Session);
       Answer.Phase = Session.Phase;
-      Step.Out.push_back(
-          effects::answer_caller{Session.Number, std::move(Answer)});
+      answerSession(Step, Session, std::move(Answer));
       return;
     }
     Request.Writes = Shape->Writes;
   }
   const bool ReadOnly =
       Session.Transaction ? Session.Transaction->ReadOnly : !Request.Writes;
-  Request.NeedsPrimary =
-      Request.Route.Rule == read_rule::Primary || !ReadOnly;
+  Request.NeedsPrimary = Request.Route.Rule == read_rule::Primary || !ReadOnly;
   Request.Statement = std::move(Statement);
+  launchRequest(Step, Session, std::move(Request));
+}
+
+void launchRequest(step_context &Step, caller_session &Session,
+                   target_request Request) {
+  host &State = Step.State;
   Session.Request = Request.Number;
   target_request &Stored =
       State.Requests.emplace(Request.Number, std::move(Request)).first->second;
@@ -172,17 +176,15 @@
   waitAgain(Step, Stored);
 }
 
-void finishRequest(step_context &Step, target_request &Request,
-                   answer Answer) {
+void finishRequest(step_context &Step, target_request &Request, answer Answer) {
   const target_connection *Connection =
       findIn(Step.State.Connections, Request.Connection);
   logOutcome(Step, Request, Answer,
              Connection == nullptr ? std::string() : Connection->Target);
-  Step.Out.push_back(effects::record_outcome{
-      enumName(Request.Route.Rule), Request.Account, Answer.Code,
-      Step.Now - Request.ArrivedAt});
-  if (Request.TokenTaken && isNotRun(Answer.Code) &&
-      isNotRun(Request.LastCode))
+  Step.Out.push_back(effects::record_outcome{enumName(Request.Route.Rule),
+                                             Request.Account, Answer.Code,
+                                             Step.Now - Request.ArrivedAt});
+  if (Request.TokenTaken && isNotRun(Answer.Code) && isNotRun(Request.LastCode))
     returnToken(Step.State.Allowances, Request.Account);
   releaseConnections(Step, Request);
   caller_session *Session = sessionOf(Step, Request);
@@ -191,28 +193,49 @@
     return;
   Session->Request = 0;
   Answer.Phase = Session->Phase;
-  Step.Out.push_back(
-      effects::answer_caller{Session->Number, std::move(Answer)});
-  drainBacklog(Step, *Session);
+  answerSession(Step, *Session, std::move(Answer));
+  if (Session->Origin)
+    settleForward(Step, *Session);
+  else
+    drainBacklog(Step, *Session);
+}
+
+/// Tells the asking host how the attempt ended; it chooses what to do next.
+static void returnToAsker(step_context &Step, target_request &Request,
+                          caller_session &Session, answer_code Code,
+                          bool NotRun) {
+  answer_code Told = answer_code::InDoubt;
+  if (NotRun)
+    Told = isNotRun(Code) ? Code : answer_code::Busy;
+  else if (Request.InTransaction)
+    Told = lostInTransaction(Request, &Session);
+  if (Session.Transaction) {
+    failTransaction(Step, Session);
+    Session.Phase = session_phase::Idle;
+  }
+  failWith(Step, Request, Told, std::string(enumName(Code)));
 }
 
 void attemptFailed(step_context &Step, target_request &Request,
                    answer_code Code, bool NotRun) {
   caller_session *Session = sessionOf(Step, Request);
   Request.LastCode = Code;
-  const bool CanRepeat =
-      NotRun || (!Request.InTransaction && !Request.Writes);
+  const bool CanRepeat = NotRun || (!Request.InTransaction && !Request.Writes);
   const bool Alone = !Request.InTransaction || isFirstOfTransaction(Session);
   if (Session == nullptr) {
     releaseConnections(Step, Request);
     Step.State.Requests.erase(Request.Number);
     return;
   }
+  if (!Request.OnlyTarget.empty()) {
+    returnToAsker(Step, Request, *Session, Code, NotRun && Alone);
+    return;
+  }
   if (CanRepeat && Alone && Request.Attempts < MaxAttempts &&
       Step.Now < Request.Deadline) {
     if (Request.InTransaction && Session->Transaction) {
-      if (auto *Pinned = findIn(Step.State.Connections,
-                                Session->Transaction->Connection))
+      if (auto *Pinned =
+              findIn(Step.State.Connections, Session->Transaction->Connection))
         endOnTarget(Step, *Pinned);
       Session->Transaction->Connection = 0;
     }
@@ -222,7 +245,9 @@
   const std::string Text(enumName(Code));
   if (Request.InTransaction) {
     const answer_code Told =
-        NotRun ? answer_code::Aborted : lostInTransaction(Request, Session);
+        NotRun || Code == answer_code::Aborted
+            ? answer_code::Aborted
+            : lostInTransaction(Request, Session);
     failInTransaction(Step, Request, Told, Text);
     return;
   }
@@ -259,9 +284,10 @@
   }
   if (auto *Target = findIn(Step.State.Targets, Connection.Target))
     Request->Avoid.insert(Target->Entry.Id);
+  const bool MayHaveRun = Answer.Code == answer_code::Failed ||
+                          Answer.Code == answer_code::InDoubt;
   const bool Repeats =
-      isNotRun(Answer.Code) ||
-      (Answer.Code == answer_code::Failed && !Request->Writes);
+      isNotRun(Answer.Code) || (MayHaveRun && !Request->Writes);
   if (Repeats || Request->InTransaction) {
     attemptFailed(Step, *Request, Answer.Code, isNotRun(Answer.Code));
     return;
@@ -308,14 +334,18 @@
   return std::string(Closed ? "its primary is being replaced"
                             : "no connection became free in time") +
          "; retry after " +
-         std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
-                            RetryHint)
-                            .count()) +
+         std::to_string(
+             std::chrono::duration_cast<std::chrono::milliseconds>(RetryHint)
+                 .count()) +
          " ms";
 }
 
 /// Ends a request whose time is up.
 void expire(step_context &Step, target_request &Request) {
+  if (Request.Rank && !Request.OnlyTarget.empty()) {
+    attemptFailed(Step, Request, answer_code::Busy, true);
+    return;
+  }
   if (Request.Rank) {
     logWait(Step, Request);
     const bool Ran = Request.Hedge != 0 || !isNotRun(Request.LastCode);
@@ -349,7 +379,9 @@
   const target_connection *Connection =
       findIn(Step.State.Connections, Request.Connection);
   if (Connection == nullptr || Request.Session == 0 || Request.Hedge != 0 ||
-      Request.Writes || Request.InTransaction || Request.Attempts >= MaxAttempts ||
+      !Request.OnlyTarget.empty() ||
+      Request.Writes || Request.InTransaction ||
+      Request.Attempts >= MaxAttempts ||
       Connection->Phase != connection_phase::Running)
     return;
   const target_view *Target = findIn(Step.State.Targets, Connection->Target);
--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -19,15 +19,13 @@
   Answer.Code = Code;
   Answer.Text = std::move(Text);
   Answer.Phase = Session.Phase;
-  Step.Out.push_back(
-      effects::answer_caller{Session.Number, std::move(Answer)});
+  answerSession(Step, Session, std::move(Answer));
 }
 
 /// Checks route and key by the settings in force.
 /// \returns Complete when the caller may go on.
 answer_code checkAccess(host &State, caller_session &Session) {
-  const session_route *Route =
-      findIn(State.Settings->Routes, Session.Database);
+  const session_route *Route = findIn(State.Settings->Routes, Session.Database);
   if (Session.Transaction)
     Route = &Session.Transaction->Route;
   if (Route == nullptr)
@@ -193,6 +191,16 @@
   drainBacklog(Step, *Session);
 }
 
+void answerSession(step_context &Step, const caller_session &Session,
+                   answer Answer) {
+  if (Session.Origin)
+    Step.Out.push_back(effects::answer_forward{
+        Session.Origin->Link, Session.Origin->Ticket, std::move(Answer)});
+  else
+    Step.Out.push_back(
+        effects::answer_caller{Session.Number, std::move(Answer)});
+}
+
 void drainBacklog(step_context &Step, caller_session &Session) {
   while (Session.Request == 0 && !Session.Backlog.empty()) {
     queued_statement Next = std::move(Session.Backlog.front());
@@ -220,6 +228,8 @@
   } else if (Session->Transaction) {
     dropTransaction(Step, *Session);
   }
+  if (Session->Origin)
+    Step.State.Forwards.erase(*Session->Origin);
   Step.State.Sessions.erase(Number);
 }
 
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -32,18 +32,27 @@
 
 /// \brief An open transaction of a session.
 struct transaction_state {
-  session_route Route;      ///< Of its begin; later changes do not apply.
+  session_route Route; ///< Of its begin; later changes do not apply.
   bool ReadOnly = false;
-  bool Wrote = false;       ///< A write was sent to a target.
-  unsigned Statements = 0;  ///< Answered by the target.
+  bool Wrote = false;               ///< A write was sent to a target.
+  unsigned Statements = 0;          ///< Answered by the target.
   connection_number Connection = 0; ///< 0: no target was needed yet.
   instant LastUse{};
 };
 
+/// \brief Another host's session that this host serves as a target's owner.
+struct forward_origin {
+  std::string Link;
+  connection_number Ticket = 0;
+
+  auto operator<=>(const forward_origin &) const = default;
+};
+
 /// \brief A caller's session.
 /// Invariant: Transaction is empty exactly when Phase is Idle or Failed.
 struct caller_session {
   session_number Number = 0;
+  std::optional<forward_origin> Origin; ///< Empty for a caller of this host.
   std::string Database;
   std::string Key;
   std::string Account;
@@ -68,8 +77,10 @@
   session_route Route;
   std::string Account;
   bool NeedsPrimary = false;
-  bool Writes = false;     ///< Cannot be sent twice.
+  bool Writes = false; ///< Cannot be sent twice.
   bool InTransaction = false;
+  /// Set at the owner that runs it for another host: the only target.
+  std::string OnlyTarget;
   instant ArrivedAt{};
   instant Deadline{};
   unsigned Attempts = 0;
@@ -100,6 +111,8 @@
   std::string Target;
   std::string Group;
   std::string Account;
+  /// Host that owns the real connection; this one only names it.
+  std::optional<endpoint> Owner;
   connection_phase Phase = connection_phase::Dialling;
   std::map<std::string, std::string> Values; ///< That it holds.
   std::map<std::string, std::string> Shapes; ///< Shape to its name there.
@@ -118,10 +131,10 @@
 struct target_view {
   target_entry Entry;
   bool Listed = true;
-  bool Absent = false; ///< Not in the latest list; see listing.cpp.
-  double LatencyMs = 8;     ///< Of statements, smoothed.
-  unsigned Connections = 0; ///< Open or dialling.
-  unsigned Running = 0;     ///< Statements under way from here.
+  bool Absent = false;       ///< Not in the latest list; see listing.cpp.
+  double LatencyMs = 8;      ///< Of statements, smoothed.
+  unsigned Connections = 0;  ///< Open or dialling.
+  unsigned Running = 0;      ///< Statements under way from here.
   unsigned DialFailures = 0; ///< Since the last success.
   instant FirstDialFailure{};
   instant DialAfter{};
@@ -131,6 +144,8 @@
   duration LagPause = std::chrono::milliseconds(20);
   log_position Known; ///< Latest position that it showed.
   instant AnsweredAt{};
+  std::string OwnerName; ///< Owner of its connections as of OwnerVersion.
+  std::uint64_t OwnerVersion = 0;
 };
 
 enum class promotion_stage {
@@ -141,8 +156,8 @@
   Ordered,   ///< The platform was told; the replica is to lead.
   Opening    ///< The record is being opened.
 };
-BOOST_DESCRIBE_ENUM(promotion_stage, None, Closing, Gathering, Choosing, Ordered,
-                    Opening)
+BOOST_DESCRIBE_ENUM(promotion_stage, None, Closing, Gathering, Choosing,
+                    Ordered, Opening)
 
 /// \brief A change of primary under this host's duty.
 struct promotion_state {
@@ -154,7 +169,7 @@
   unsigned ProbesLeft = 0;
   call_number Call = 0;
   call_number HostsCall = 0;
-  bool HostsRead = false; ///< Since the record was closed.
+  bool HostsRead = false;           ///< Since the record was closed.
   std::set<std::string> LeaseEnded; ///< Hosts whose lease this host ended.
   instant NotBefore{}; ///< Orders wait for leases that this host ended.
   std::map<std::string, target_status> Statuses;
@@ -167,9 +182,9 @@
   std::uint64_t Revision = 0; ///< Of the record.
   freshness_samples Samples;
   promotion_state Promotion;
-  bool Blind = false;       ///< This host cannot reach the primary.
+  bool Blind = false;             ///< This host cannot reach the primary.
   std::uint64_t Acknowledged = 0; ///< Closed generation this host stopped for.
-  instant ClosedAt{};       ///< When this host learnt that it was closed.
+  instant ClosedAt{};             ///< When this host learnt that it was closed.
   call_number CreateCall = 0;
 };
 
@@ -215,6 +230,11 @@
   std::map<std::string, group_state> Groups;
   std::map<std::string, listed_peer> Hosts; ///< By name, this one included.
   waiting_queue Waiting;
+  std::map<forward_origin, session_number> Forwards;
+  /// Owners that did not answer in time, and until when they are not asked.
+  std::map<endpoint, instant> SilentOwners;
+  std::map<endpoint, instant> OwnersAnsweredAt;
+  std::uint64_t HostsVersion = 0; ///< Grows as Hosts changes.
   allowance_table Allowances;
   lease_state Lease;
   duty_state Duty;
--- a/src/proxy/stopping.cpp
+++ b/src/proxy/stopping.cpp
@@ -12,7 +12,7 @@
 
 bool isResting(const caller_session &Session) {
   return Session.Request == 0 && Session.Phase == session_phase::Idle &&
-         !Session.Transaction;
+         !Session.Transaction && !Session.Origin;
 }
 
 void closeResting(step_context &Step) {
@@ -50,7 +50,8 @@
     Change.Deletes.emplace_back(DutyKey);
     Step.Out.push_back(std::move(Change));
     State.Duty.Held = false;
-    logLine(Step, "duty.returned", {{"token", std::to_string(State.Duty.Token)}});
+    logLine(Step, "duty.returned",
+            {{"token", std::to_string(State.Duty.Token)}});
   }
 }
 
--- a/src/proxy/store_path.cpp
+++ b/src/proxy/store_path.cpp
@@ -31,8 +31,7 @@
     Path.AnsweredAt = Now;
 }
 
-void relayEnded(store_path &Path, bool PeerAnswered, bool Served,
-                instant Now) {
+void relayEnded(store_path &Path, bool PeerAnswered, bool Served, instant Now) {
   if (!Served)
     Path.Peer += 1;
   if (PeerAnswered)
--- a/src/serve/callers.cpp
+++ b/src/serve/callers.cpp
@@ -35,11 +35,9 @@
   const proxy::session_number Number = ++LastNumber;
   auto Line = std::make_shared<line_socket>(std::move(Socket));
   Sessions[Number] = {Line, bootNow(), false};
-  Line->start(
-      [this, Number](std::string_view Text) {
-        return lineArrived(Number, Text);
-      },
-      [this, Number] { ended(Number); });
+  Line->start([this, Number](
+                  std::string_view Text) { return lineArrived(Number, Text); },
+              [this, Number] { ended(Number); });
 }
 
 bool caller_listener::lineArrived(proxy::session_number Number,
--- a/src/serve/frame_socket.cpp
+++ b/src/serve/frame_socket.cpp
@@ -46,8 +46,8 @@
 void frame_socket::send(std::string_view Payload) {
   if (Closed || Outgoing.size() + Payload.size() > MaxOutgoingBytes)
     return;
-  const auto Size = boost::endian::native_to_big(
-      static_cast<std::uint32_t>(Payload.size()));
+  const auto Size =
+      boost::endian::native_to_big(static_cast<std::uint32_t>(Payload.size()));
   Outgoing.append(reinterpret_cast<const char *>(&Size), LengthBytes);
   Outgoing.append(Payload);
   if (!Connecting && !Writing)
@@ -75,25 +75,25 @@
 }
 
 void frame_socket::readLength() {
-  asio::async_read(
-      Socket, asio::buffer(&Length, LengthBytes),
-      [Self = shared_from_this()](boost::system::error_code Failed,
-                                  std::size_t) {
-        if (Self->Closed)
-          return;
-        const auto Size = boost::endian::big_to_native(Self->Length);
-        if (Failed || Size == 0 || Size > MaxFrameBytes)
-          Self->fail();
-        else
-          Self->readBody(Size);
-      });
+  asio::async_read(Socket, asio::buffer(&Length, LengthBytes),
+                   [Self = shared_from_this()](boost::system::error_code Failed,
+                                               std::size_t) {
+                     if (Self->Closed)
+                       return;
+                     const auto Size =
+                         boost::endian::big_to_native(Self->Length);
+                     if (Failed || Size == 0 || Size > MaxFrameBytes)
+                       Self->fail();
+                     else
+                       Self->readBody(Size);
+                   });
 }
 
 void frame_socket::readBody(std::uint32_t Size) {
   Body.resize(Size);
   asio::async_read(Socket, asio::buffer(Body),
-                   [Self = shared_from_this()](
-                       boost::system::error_code Failed, std::size_t) {
+                   [Self = shared_from_this()](boost::system::error_code Failed,
+                                               std::size_t) {
                      if (Self->Closed)
                        return;
                      if (Failed) {
--- a/src/serve/journal.cpp
+++ b/src/serve/journal.cpp
@@ -71,8 +71,7 @@
     fcntl(STDOUT_FILENO, F_SETFL, Flags | O_NONBLOCK);
 }
 
-void addLine(journal &Log, const proxy::effects::write_log &Line,
-             instant Now) {
+void addLine(journal &Log, const proxy::effects::write_log &Line, instant Now) {
   line_budget &Budget = Log.Budgets[Line.Event];
   if (!withinBudget(Budget, Line.Event, Now))
     return;
--- a/src/serve/journal.hpp
+++ b/src/serve/journal.hpp
@@ -21,7 +21,7 @@
 /// \brief Log of a process.
 /// Invariant: Pending holds at most MaxPendingBytes.
 struct journal {
-  static constexpr std::size_t MaxPendingBytes = 256 * 1024;
+  static constexpr std::size_t MaxPendingBytes = std::size_t{256} << 10;
   std::string Host;
   std::string Pending; ///< Formatted, not yet written.
   std::map<std::string_view, line_budget> Budgets;
--- a/src/serve/meters.cpp
+++ b/src/serve/meters.cpp
@@ -22,9 +22,9 @@
   Found->second.Count += 1;
 }
 
-void writeCounts(
-    std::ostream &Out, const char *Name, const char *Label,
-    const std::map<std::pair<std::string, std::string>, std::uint64_t> &Counts) {
+void writeCounts(std::ostream &Out, const char *Name, const char *Label,
+                 const std::map<std::pair<std::string, std::string>,
+                                std::uint64_t> &Counts) {
   for (const auto &[Key, Count] : Counts)
     Out << Name << '{' << Label << "=\"" << Key.first << "\",code=\""
         << Key.second << "\"} " << Count << '\n';
--- a/src/serve/peer_links.cpp
+++ b/src/serve/peer_links.cpp
@@ -5,7 +5,9 @@
 
 #include <session_peer_generated.h>
 
+#include <optional>
 #include <utility>
+#include <vector>
 
 namespace bronzespar::serve {
 
@@ -25,10 +27,111 @@
           Builder.GetSize()};
 }
 
+flatbuffers::Offset<wire::Position>
+positionOf(flatbuffers::FlatBufferBuilder &Builder,
+           const std::optional<log_position> &Position) {
+  if (!Position)
+    return {};
+  return wire::CreatePosition(Builder, Position->Term, Position->Index);
+}
+
+std::optional<log_position> positionOf(const wire::Position *Position) {
+  if (Position == nullptr)
+    return std::nullopt;
+  return log_position{Position->term(), Position->number()};
+}
+
+/// Enumerators travel as their numbers; one that is unknown is refused.
+template <class Enum> std::optional<Enum> enumOf(std::uint8_t Number) {
+  const auto Value = static_cast<Enum>(Number);
+  return enumName(Value) == "(unknown)" ? std::nullopt
+                                        : std::optional<Enum>(Value);
+}
+
 std::string textOf(const flatbuffers::String *Text) {
   return Text == nullptr ? std::string() : Text->str();
 }
 
+std::string encodeForward(const proxy::effects::forward &Effect) {
+  return frameOf(
+      wire::SessionBody_ForwardAsk,
+      [&](flatbuffers::FlatBufferBuilder &Builder) {
+        const proxy::forwarded_statement &What = Effect.What;
+        std::vector<flatbuffers::Offset<wire::NamedValue>> Values;
+        Values.reserve(What.Values.size());
+        for (const auto &[Name, Value] : What.Values)
+          Values.push_back(
+              wire::CreateNamedValueDirect(Builder, Name.c_str(),
+                                           Value.c_str()));
+        const auto NotBefore = positionOf(Builder, What.NotBefore);
+        return wire::CreateForwardAskDirect(
+            Builder, Effect.Ticket, What.Id.c_str(), What.Group.c_str(),
+            What.Account.c_str(), What.Target.c_str(), &Values,
+            What.Shape.c_str(), static_cast<std::uint8_t>(What.Statement.Kind),
+            What.Statement.Text.c_str(), What.Statement.Name.c_str(),
+            What.Statement.Rest.c_str(), What.Statement.Writes, NotBefore,
+            static_cast<std::uint8_t>(What.Begins), What.InTransaction,
+            What.MustLead, What.Priority, What.TimeLeft.count());
+      });
+}
+
+std::optional<proxy::forwarded_statement>
+decodeForward(const wire::ForwardAsk &Ask) {
+  const auto Kind = enumOf<proxy::statement_kind>(Ask.kind());
+  const auto Begins = enumOf<proxy::forward_begin>(Ask.begins());
+  if (!Kind || !Begins)
+    return std::nullopt;
+  proxy::forwarded_statement What;
+  What.Id = textOf(Ask.id());
+  What.Group = textOf(Ask.group());
+  What.Account = textOf(Ask.account());
+  What.Target = textOf(Ask.target());
+  if (Ask.values() != nullptr)
+    for (const wire::NamedValue *Value : *Ask.values())
+      What.Values[textOf(Value->name())] = textOf(Value->value());
+  What.Shape = textOf(Ask.shape());
+  What.Statement = {*Kind, textOf(Ask.text()), textOf(Ask.name()),
+                    textOf(Ask.rest()), Ask.writes()};
+  What.NotBefore = positionOf(Ask.not_before());
+  What.Begins = *Begins;
+  What.InTransaction = Ask.in_transaction();
+  What.MustLead = Ask.must_lead();
+  What.Priority = Ask.priority();
+  What.TimeLeft = duration(Ask.time_left_us());
+  return What;
+}
+
+std::string encodeAnswer(const proxy::effects::answer_forward &Effect) {
+  return frameOf(wire::SessionBody_ForwardAnswer,
+                 [&](flatbuffers::FlatBufferBuilder &Builder) {
+                   const proxy::answer &Answer = Effect.Answer;
+                   const auto Rows =
+                       Builder.CreateVectorOfStrings(Answer.Rows);
+                   const auto Text = Builder.CreateString(Answer.Text);
+                   const auto Position = positionOf(Builder, Answer.Position);
+                   return wire::CreateForwardAnswer(
+                       Builder, Effect.Ticket,
+                       static_cast<std::uint8_t>(Answer.Code), Text, Rows,
+                       static_cast<std::uint8_t>(Answer.Phase), Position);
+                 });
+}
+
+std::optional<proxy::answer> decodeAnswer(const wire::ForwardAnswer &Wire) {
+  const auto Code = enumOf<proxy::answer_code>(Wire.code());
+  const auto Phase = enumOf<proxy::session_phase>(Wire.phase());
+  if (!Code || !Phase)
+    return std::nullopt;
+  proxy::answer Answer;
+  Answer.Code = *Code;
+  Answer.Text = textOf(Wire.text());
+  if (Wire.rows() != nullptr)
+    for (const flatbuffers::String *Row : *Wire.rows())
+      Answer.Rows.push_back(textOf(Row));
+  Answer.Phase = *Phase;
+  Answer.Position = positionOf(Wire.position());
+  return Answer;
+}
+
 } // namespace
 
 struct peer_links::frame_socket : serve::frame_socket {
@@ -45,23 +148,21 @@
 void peer_links::start() { accept(); }
 
 void peer_links::accept() {
-  Acceptor.async_accept(
-      [this](boost::system::error_code Failed, tcp::socket Socket) {
-        if (!Acceptor.is_open())
-          return;
-        if (!Failed) {
-          const std::string Name = '#' + std::to_string(++LastNumber);
-          auto Link = std::make_shared<frame_socket>(
-              std::move(Socket),
-              [this, Name](const std::string &Frame) {
-                frameArrived(Name, Frame);
-              },
-              [this, Name] { ended(Name); });
-          Sockets[Name] = Link;
-          Link->start();
-        }
-        accept();
-      });
+  Acceptor.async_accept([this](boost::system::error_code Failed,
+                               tcp::socket Socket) {
+    if (!Acceptor.is_open())
+      return;
+    if (!Failed) {
+      const std::string Name = '#' + std::to_string(++LastNumber);
+      auto Link = std::make_shared<frame_socket>(
+          std::move(Socket),
+          [this, Name](const std::string &Frame) { frameArrived(Name, Frame); },
+          [this, Name] { ended(Name); });
+      Sockets[Name] = Link;
+      Link->start();
+    }
+    accept();
+  });
 }
 
 peer_links::frame_socket &peer_links::dialled(const endpoint &Where) {
@@ -90,6 +191,16 @@
   } else if (const auto *Grant = Message->body_as_TokenGrant()) {
     Events(proxy::events::tokens_granted{
         Name, {textOf(Grant->account()), Grant->tokens()}});
+  } else if (const auto *Forward = Message->body_as_ForwardAsk()) {
+    if (auto What = decodeForward(*Forward))
+      Events(proxy::events::forward_asked{Name, Forward->ticket(),
+                                          std::move(*What)});
+  } else if (const auto *End = Message->body_as_ForwardEnd()) {
+    Events(proxy::events::forward_ended{Name, End->ticket()});
+  } else if (const auto *Done = Message->body_as_ForwardAnswer()) {
+    if (auto Whole = decodeAnswer(*Done))
+      Events(proxy::events::target_answered{Done->ticket(),
+                                            std::move(*Whole)});
   } else if (const auto *Call = Message->body_as_RelayCall()) {
     relayAsked(Name, Call->number(),
                {textOf(Call->method()),
@@ -110,14 +221,13 @@
     const auto Found = Sockets.find(Name);
     if (Found == Sockets.end())
       return;
-    Found->second->send(
-        frameOf(wire::SessionBody_RelayAnswer,
-                [&](flatbuffers::FlatBufferBuilder &Builder) {
-                  const auto Body = Builder.CreateString(Done.Answer.Body);
-                  return wire::CreateRelayAnswer(Builder, Number,
-                                                 Done.Answer.Status, Body,
-                                                 Done.PeerTurnedAway);
-                }));
+    Found->second->send(frameOf(
+        wire::SessionBody_RelayAnswer,
+        [&](flatbuffers::FlatBufferBuilder &Builder) {
+          const auto Body = Builder.CreateString(Done.Answer.Body);
+          return wire::CreateRelayAnswer(Builder, Number, Done.Answer.Status,
+                                         Body, Done.PeerTurnedAway);
+        }));
   });
 }
 
@@ -138,6 +248,7 @@
       Lost.push_back(Number);
   for (const std::uint64_t Number : Lost)
     relayAnswered(Number, {});
+  Events(proxy::events::peer_lost{Name});
 }
 
 void peer_links::dropOverdue(instant Now) {
@@ -173,6 +284,35 @@
               }));
 }
 
+void peer_links::carryOut(const proxy::effects::forward &Effect) {
+  dialled(Effect.Owner).send(encodeForward(Effect));
+}
+
+void peer_links::carryOut(const proxy::effects::end_forward &Effect) {
+  const auto Found = Sockets.find(toText(Effect.Owner));
+  if (Found != Sockets.end())
+    Found->second->send(
+        frameOf(wire::SessionBody_ForwardEnd,
+                [&](flatbuffers::FlatBufferBuilder &Builder) {
+                  return wire::CreateForwardEnd(Builder, Effect.Ticket);
+                }));
+}
+
+void peer_links::carryOut(const proxy::effects::answer_forward &Effect) {
+  const auto Found = Sockets.find(Effect.Link);
+  if (Found != Sockets.end())
+    Found->second->send(encodeAnswer(Effect));
+}
+
+void peer_links::carryOut(const proxy::effects::drop_peer &Effect) {
+  const std::string Name = toText(Effect.Peer);
+  const auto Found = Sockets.find(Name);
+  if (Found == Sockets.end())
+    return;
+  Found->second->close();
+  ended(Name);
+}
+
 void peer_links::carryOut(const proxy::effects::ask_tokens &Effect) {
   dialled(Effect.Host)
       .send(frameOf(wire::SessionBody_TokenAsk,
@@ -188,13 +328,12 @@
   const auto Found = Sockets.find(Effect.Host);
   if (Found == Sockets.end())
     return;
-  Found->second->send(frameOf(wire::SessionBody_TokenGrant,
-                              [&](flatbuffers::FlatBufferBuilder &Builder) {
-                                const auto Account = Builder.CreateString(
-                                    Effect.Granted.Account);
-                                return wire::CreateTokenGrant(
-                                    Builder, Account, Effect.Granted.Tokens);
-                              }));
+  Found->second->send(frameOf(
+      wire::SessionBody_TokenGrant,
+      [&](flatbuffers::FlatBufferBuilder &Builder) {
+        const auto Account = Builder.CreateString(Effect.Granted.Account);
+        return wire::CreateTokenGrant(Builder, Account, Effect.Granted.Tokens);
+      }));
 }
 
 } // namespace bronzespar::serve
--- a/src/serve/peer_links.hpp
+++ b/src/serve/peer_links.hpp
@@ -21,8 +21,7 @@
 };
 using relay_callback = std::function<void(relay_answer)>;
 /// Makes a call for a peer; answers through the callback.
-using relay_handler =
-    std::function<void(platform::http_call, relay_callback)>;
+using relay_handler = std::function<void(platform::http_call, relay_callback)>;
 
 class peer_links {
 public:
@@ -35,6 +34,10 @@
   void start();
   void carryOut(const proxy::effects::ask_tokens &Effect);
   void carryOut(const proxy::effects::grant_tokens &Effect);
+  void carryOut(const proxy::effects::forward &Effect);
+  void carryOut(const proxy::effects::end_forward &Effect);
+  void carryOut(const proxy::effects::answer_forward &Effect);
+  void carryOut(const proxy::effects::drop_peer &Effect);
   /// \brief Asks a peer to make a call; Callback runs once.
   void relay(const endpoint &Peer, const platform::http_call &Call,
              relay_callback Callback);
--- a/src/serve/serve_settings.cpp
+++ b/src/serve/serve_settings.cpp
@@ -30,8 +30,8 @@
 }
 
 serve_fault badValue(const ini_entry &Entry, std::string_view Wanted) {
-  return {"line " + std::to_string(Entry.Line) + ": " + Entry.Name +
-          " is no " + std::string(Wanted)};
+  return {"line " + std::to_string(Entry.Line) + ": " + Entry.Name + " is no " +
+          std::string(Wanted)};
 }
 
 endpoint endpointOf(const std::vector<ini_section> &Sections,
--- a/src/serve/serve_settings.hpp
+++ b/src/serve/serve_settings.hpp
@@ -21,7 +21,8 @@
 };
 
 /// \brief Reads a settings text.
-/// \param Fault Receives what is wrong, with its line, when nothing is returned.
+/// \param Fault Receives what is wrong, with its line, when nothing is
+/// returned.
 [[nodiscard]] std::optional<serve_settings>
 parseServeSettings(std::string_view Text, std::string &Fault);
 
--- a/src/serve/session_daemon.cpp
+++ b/src/serve/session_daemon.cpp
@@ -5,9 +5,9 @@
 #include "journal.hpp"
 #include "meters.hpp"
 #include "peer_links.hpp"
+#include "store_gateway.hpp"
 #include "targets.hpp"
 #include "text_server.hpp"
-#include "store_gateway.hpp"
 
 #include <platform/node_file.hpp>
 
@@ -41,11 +41,12 @@
               }),
         Gateway(Io, Settings.Store, Settings.Duty, Peers, sink(),
                 [this](std::string_view Event) { logNow(Event, {}); }),
-        Store(Io, Gateway.makeLanes(), sink(),
-              [this](const std::string &Key, const std::string &Fault) {
-                logNow("store.unusable", {{"key", Key}, {"fault", Fault}});
-              },
-              bootNow),
+        Store(
+            Io, Gateway.makeLanes(), sink(),
+            [this](const std::string &Key, const std::string &Fault) {
+              logNow("store.unusable", {{"key", Key}, {"fault", Fault}});
+            },
+            bootNow),
         Readiness(Io, Settings.Readiness,
                   [this](const std::string &Path) { return check(Path); }),
         Metrics(Io, Settings.Metrics, [this](const std::string &) {
@@ -95,6 +96,10 @@
   void carryOut(const effects::renew_lease &E) { Store.carryOut(E); }
   void carryOut(const effects::end_lease &E) { Store.carryOut(E); }
   void carryOut(const effects::order_promotion &E) { Store.carryOut(E); }
+  void carryOut(const effects::forward &E) { Peers.carryOut(E); }
+  void carryOut(const effects::end_forward &E) { Peers.carryOut(E); }
+  void carryOut(const effects::answer_forward &E) { Peers.carryOut(E); }
+  void carryOut(const effects::drop_peer &E) { Peers.carryOut(E); }
   void carryOut(const effects::ask_tokens &E) { Peers.carryOut(E); }
   void carryOut(const effects::grant_tokens &E) { Peers.carryOut(E); }
   void carryOut(const effects::set_peers &E) { Gateway.setPeers(E.Peers); }
--- a/src/serve/store_gateway.cpp
+++ b/src/serve/store_gateway.cpp
@@ -20,10 +20,9 @@
 
 } // namespace
 
-store_gateway::store_gateway(boost::asio::io_context &Context,
-                             endpoint StoreAt, endpoint DutyAt,
-                             peer_links &PeerLinks, event_sink Sink,
-                             log_function Logger)
+store_gateway::store_gateway(boost::asio::io_context &Context, endpoint StoreAt,
+                             endpoint DutyAt, peer_links &PeerLinks,
+                             event_sink Sink, log_function Logger)
     : Io(Context), Store(std::move(StoreAt)), Duty(std::move(DutyAt)),
       Peering(PeerLinks), Events(std::move(Sink)), Log(std::move(Logger)) {}
 
--- a/src/serve/targets.cpp
+++ b/src/serve/targets.cpp
@@ -80,9 +80,9 @@
   const proxy::connection_number Number = Effect.Connection;
   auto Socket = std::make_shared<line_socket>(Io);
   Links[Number] = {Socket, {}, false};
-  Socket->connect(Effect.Where, platform::formatStartup(
-                                    Effect.Group, Effect.Account,
-                                    Effect.Target));
+  Socket->connect(
+      Effect.Where,
+      platform::formatStartup(Effect.Group, Effect.Account, Effect.Target));
   Socket->start(
       [this, Number](std::string_view Line) {
         return lineArrived(Number, Line);
--- a/tests/proxy/allowance_tests.cpp
+++ b/tests/proxy/allowance_tests.cpp
@@ -4,8 +4,8 @@
 #include <catch2/catch.hpp>
 
 #include <array>
-#include <vector>
 #include <random>
+#include <vector>
 
 namespace {
 
@@ -84,9 +84,9 @@
   Fleet.divide(25, 25, Start);
   Fleet.run(Start, 20s, 5, Uneven);
   std::vector<unsigned> Parts;
+  Parts.reserve(60);
   for (int Slice = 0; Slice < 60; ++Slice)
-    Parts.push_back(
-        Fleet.run(Start + 20s + Slice * 250ms, 250ms, 90, Uneven));
+    Parts.push_back(Fleet.run(Start + 20s + Slice * 250ms, 250ms, 90, Uneven));
   for (std::size_t First = 0; First + 20 <= Parts.size(); ++First) {
     unsigned Sum = 0;
     for (std::size_t Slice = First; Slice < First + 20; ++Slice)
--- a/tests/proxy/crowd_tests.cpp
+++ b/tests/proxy/crowd_tests.cpp
@@ -14,11 +14,10 @@
   proxy_settings Settings;
   Settings.Version = 2;
   Settings.Groups[Group] = {4};
-  Settings.Routes["live"] = {"live", Group, read_rule::Primary, 800ms,
-                             100ms,  {},    1,                  false};
-  Settings.Routes["own"] = {"own", Group,  read_rule::ReadYourWrites,
-                            800ms, 200ms,  2500ms,
-                            2,     false};
+  Settings.Routes["live"] = {
+      "live", Group, read_rule::Primary, 800ms, 100ms, {}, 1, false};
+  Settings.Routes["own"] = {
+      "own", Group, read_rule::ReadYourWrites, 800ms, 200ms, 2500ms, 2, false};
   for (int Number = 0; Number < 8; ++Number) {
     const std::string Name = "account-" + std::to_string(Number);
     Settings.Accounts[Name] = {Name, 1000, 1000};
@@ -71,8 +70,8 @@
           Driver.send(
               events::target_ready{Done.Connection, log_position{1, 0}});
         else
-          Driver.send(events::target_answered{
-              Done.Connection, host_driver::completed({1, 0})});
+          Driver.send(events::target_answered{Done.Connection,
+                                              host_driver::completed({1, 0})});
         accept(Driver);
       }
   }
@@ -92,9 +91,9 @@
   std::mt19937 Random{20261204};
   const auto Ask = [&] {
     const session_number Session = ++Driver.LastSession;
-    Driver.send(events::session_opened{
-        Session, Random() % 4 == 0 ? "live" : "own",
-        "key-" + std::to_string(Random() % 8)});
+    Driver.send(events::session_opened{Session,
+                                       Random() % 4 == 0 ? "live" : "own",
+                                       "key-" + std::to_string(Random() % 8)});
     if (Random() % 8 == 0)
       Driver.ask(Session, "w", statement_kind::Write, "WRITE 1 x");
     else
--- a/tests/proxy/host_driver.hpp
+++ b/tests/proxy/host_driver.hpp
@@ -66,10 +66,10 @@
     Settings.Accounts["rago"] = {"rago", 1000, 1000};
     Settings.Keys["key-1"] = "rago";
     Settings.Groups[Group] = {16};
-    Settings.Routes["live"] = {"live", Group, read_rule::Primary, 800ms,
-                               100ms,  {},    1,                  false};
-    Settings.Routes["own"] = {"own", Group,  read_rule::ReadYourWrites,
-                              800ms, 200ms,  2500ms,
+    Settings.Routes["live"] = {
+        "live", Group, read_rule::Primary, 800ms, 100ms, {}, 1, false};
+    Settings.Routes["own"] = {"own", Group, read_rule::ReadYourWrites,
+                              800ms, 200ms, 2500ms,
                               2,     false};
     send(events::settings_changed{Settings});
   }
@@ -132,8 +132,8 @@
             Read.Call,
             Read.Prefix,
             {{std::string(GroupsPrefix) + Group,
-              formatRecord(group_record{Generation, Primary, Open}),
-              ++Revision, 0}},
+              formatRecord(group_record{Generation, Primary, Open}), ++Revision,
+              0}},
             true});
         return true;
       }
--- a/tests/proxy/primary_lease_tests.cpp
+++ b/tests/proxy/primary_lease_tests.cpp
@@ -86,8 +86,8 @@
   REQUIRE(Driver.answerRegistration());
   host_record Older;
   Older.Peers = {"10.0.0.1", 7560};
-  Driver.send(events::record_changed{
-      {"hosts/host-1", formatRecord(Older), 40, 7}});
+  Driver.send(
+      events::record_changed{{"hosts/host-1", formatRecord(Older), 40, 7}});
   Driver.send(events::tick{});
   const auto Record = Driver.takeRegistration();
   REQUIRE(Record);
--- a/tests/proxy/request_tests.cpp
+++ b/tests/proxy/request_tests.cpp
@@ -68,8 +68,8 @@
   Driver.ask(Session, "w1", statement_kind::Write, "WRITE 1 x");
   Driver.connectAll();
   const auto Sent = sentOnce(Driver);
-  Driver.send(events::target_answered{
-      Sent.Connection, host_driver::refused(answer_code::Busy)});
+  Driver.send(events::target_answered{Sent.Connection,
+                                      host_driver::refused(answer_code::Busy)});
   Driver.wait(60ms);
   CHECK(sentOnce(Driver).Statements.front().Id == "w1");
 }
@@ -103,7 +103,8 @@
   CHECK(Answer.Phase == session_phase::Idle);
 }
 
-TEST_CASE("A transaction whose connection is lost is rolled back, and says so") {
+TEST_CASE(
+    "A transaction whose connection is lost is rolled back, and says so") {
   host_driver Driver;
   Driver.becomeReady();
   const session_number Session = Driver.openSession("live");
@@ -138,14 +139,13 @@
   Driver.send(events::target_answered{Setup.Connection,
                                       host_driver::completed({1, 0})});
   const auto Read = sentOnce(Driver);
-  Driver.send(events::target_answered{Read.Connection,
-                                      host_driver::completed({1, 0})});
+  Driver.send(
+      events::target_answered{Read.Connection, host_driver::completed({1, 0})});
   const session_number Second = Driver.openSession("live");
   Driver.ask(Second, "r2", statement_kind::Read, "READ 2");
   const auto Reset = sentOnce(Driver);
   CHECK(Reset.Connection == Setup.Connection);
-  CHECK(Reset.Statements.front().Statement.Kind ==
-        statement_kind::ResetValues);
+  CHECK(Reset.Statements.front().Statement.Kind == statement_kind::ResetValues);
 }
 
 TEST_CASE("A withdrawn key is denied on an open session") {
