--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -166,6 +166,7 @@
     Lease.Registered = Record.Value;
   const std::size_t Before = Step.State.Hosts.size();
   Step.State.HostsVersion += 1;
+  Step.State.HostsLost.erase(Name);
   Step.State.Hosts[Name] = {std::move(*Parsed), Record.Lease};
   if (Step.State.Hosts.size() != Before) {
     listPeers(Step);
@@ -245,7 +246,11 @@
 
 void recordRemoved(step_context &Step, const std::string &Key) {
   if (Key.starts_with(HostsPrefix)) {
-    Step.State.Hosts.erase(Key.substr(HostsPrefix.size()));
+    const std::string Name = Key.substr(HostsPrefix.size());
+    if (const auto Left = Step.State.Hosts.find(Name);
+        Left != Step.State.Hosts.end() && !Left->second.Record.Leaving)
+      Step.State.HostsLost[Name] = Step.Now;
+    Step.State.Hosts.erase(Name);
     Step.State.HostsVersion += 1;
     listPeers(Step);
   } else if (Key == DutyKey) {
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -20,6 +20,9 @@
 constexpr duration CatchUp = std::chrono::milliseconds(1500);
 /// No replica answers for this long: the old primary is used again.
 constexpr duration GiveUp = std::chrono::milliseconds(4000);
+/// A host that left the list without a word counts as one that may reach the
+/// primary for this long.
+constexpr duration LostHostVotes = std::chrono::seconds(5);
 /// A host that neither acknowledges nor lets its lease lapse loses it then.
 constexpr duration HoldoutLimit = std::chrono::milliseconds(2500);
 constexpr duration ChangeRetry = std::chrono::milliseconds(200);
@@ -78,9 +81,18 @@
       }));
 }
 
-bool mostAreBlind(const host &State, const std::string &Name) {
+/// Hosts that are listed or were until a moment ago: one that keeps the store
+/// while the others lose it must not judge alone.
+std::size_t recentHosts(const host &State, instant Now) {
+  const auto Recent = std::count_if(
+      State.HostsLost.begin(), State.HostsLost.end(),
+      [&](const auto &Lost) { return Now < Lost.second + LostHostVotes; });
+  return State.Hosts.size() + static_cast<std::size_t>(Recent);
+}
+
+bool mostAreBlind(const host &State, const std::string &Name, instant Now) {
   const std::size_t Blind = blindHosts(State, Name);
-  return Blind > 0 && Blind * 2 >= State.Hosts.size();
+  return Blind > 0 && Blind * 2 >= recentHosts(State, Now);
 }
 
 bool replicaListed(const host &State, const std::string &Name,
@@ -100,7 +112,7 @@
       findIn(Step.State.Targets, Group.Record->Primary);
   const bool Leaving =
       Primary == nullptr || !Primary->Listed || Primary->Entry.Draining;
-  const bool Lost = mostAreBlind(Step.State, Name);
+  const bool Lost = mostAreBlind(Step.State, Name, Step.Now);
   if ((!Leaving && !Lost) ||
       !replicaListed(Step.State, Name, Group.Record->Primary))
     return;
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -229,6 +229,7 @@
   std::map<std::string, target_view> Targets; ///< By id.
   std::map<std::string, group_state> Groups;
   std::map<std::string, listed_peer> Hosts; ///< By name, this one included.
+  std::map<std::string, instant> HostsLost; ///< When a host left the list.
   waiting_queue Waiting;
   std::map<forward_origin, session_number> Forwards;
   /// Owners that did not answer in time, and until when they are not asked.
--- a/tests/proxy/promotion_tests.cpp
+++ b/tests/proxy/promotion_tests.cpp
@@ -63,3 +63,20 @@
   Driver.wait(40ms);
   CHECK_FALSE(closesRecord(Driver));
 }
+
+TEST_CASE("A host that keeps the store while others lose it judges not alone") {
+  // Found in an incident: five of six hosts lost the store, the sixth did not
+  // reach one primary and replaced it, though the others did reach it.
+  host_driver Driver;
+  holdDuty(Driver);
+  host_record Other;
+  Other.Peers = {"10.0.0.2", 7560};
+  for (const std::string Name : {"host-2", "host-3", "host-4"})
+    Driver.send(events::record_changed{
+        {"hosts/" + Name, formatRecord(Other), ++Driver.Revision, 8}});
+  for (const std::string Name : {"host-2", "host-3", "host-4"})
+    Driver.send(events::record_removed{"hosts/" + Name});
+  reportBlind(Driver, "host-1", "a");
+  Driver.wait(40ms);
+  CHECK_FALSE(closesRecord(Driver));
+}
