Have few hosts of a data centre watch the store for the others

Change: above 12 hosts, two hosts of each data centre watch; the others' waiting calls are answered from their watches, with the store's own revisions. A reader that fails is left for 3 s and the store watched directly. Leases, records and whole reads stay each host's own, so what a lease proves does not rest on it.

--- a/include/bronzespar/proxy/interface.hpp
+++ b/include/bronzespar/proxy/interface.hpp
@@ -303,6 +303,11 @@
 struct set_peers {
   std::vector<endpoint> Peers;
 };
+/// \brief The host from whose watches this one is told of changes; none: it
+/// watches the store itself.
+struct set_reader {
+  std::optional<endpoint> Reader;
+};
 struct set_ready {
   bool Ready = false;
 };
@@ -336,8 +341,8 @@
     effects::end_lease, effects::order_promotion, effects::forward,
     effects::end_forward, effects::drop_peer, effects::answer_forward,
     effects::ask_tokens, effects::grant_tokens, effects::set_peers,
-    effects::set_ready, effects::write_log, effects::record_outcome,
-    effects::stop_process>;
+    effects::set_reader, effects::set_ready, effects::write_log,
+    effects::record_outcome, effects::stop_process>;
 using effect_list = std::vector<effect>;
 
 } // namespace bronzespar::proxy
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -7,12 +7,19 @@
 /// or the end of its lease.
 #include "parts.hpp"
 
+#include <bronzespar/membership.hpp>
+
+#include <algorithm>
 #include <utility>
 
 namespace bronzespar::proxy {
 
 namespace {
 
+/// Up to this many hosts, each watches the store itself.
+constexpr std::size_t HostsThatAllWatch = 12;
+/// Two, so that one that fails does not leave its data centre without.
+constexpr std::size_t ReadersPerDataCentre = 2;
 /// Shorter leases cost more calls; longer ones delay a promotion past a host
 /// that is cut off.
 constexpr duration LeaseLength = std::chrono::milliseconds(1600);
@@ -138,6 +145,32 @@
   acknowledgeClosed(Step, Group);
 }
 
+/// In a large fleet few hosts of each data centre watch the store; the others
+/// are told by them, so that calls to the store do not grow with the fleet.
+std::optional<endpoint> readerFor(const host &State) {
+  if (State.Hosts.size() <= HostsThatAllWatch)
+    return std::nullopt;
+  std::vector<host_id> Near;
+  for (const auto &[Name, Peer] : State.Hosts)
+    if (Peer.Record.DataCentre == State.Identity.DataCentre &&
+        !Peer.Record.Leaving)
+      Near.emplace_back(Name);
+  std::vector<host_id> Readers;
+  while (Readers.size() < ReadersPerDataCentre) {
+    const auto Next = rendezvous("reader", Near);
+    if (!Next)
+      break;
+    Readers.push_back(*Next);
+    std::erase(Near, *Next);
+  }
+  const host_id Own(State.Identity.Name);
+  if (std::find(Readers.begin(), Readers.end(), Own) != Readers.end())
+    return std::nullopt;
+  const auto Chosen = rendezvous("reader of " + Own.Value, Readers);
+  return Chosen ? std::optional(State.Hosts.at(Chosen->Value).Record.Peers)
+                : std::nullopt;
+}
+
 /// Tells the adapters which hosts may relay calls: those of other data centres,
 /// which do not share what cuts this one off; without any, its neighbours.
 void listPeers(step_context &Step) {
@@ -152,6 +185,7 @@
   }
   Step.Out.push_back(Others.Peers.empty() ? std::move(Neighbours)
                                           : std::move(Others));
+  Step.Out.push_back(effects::set_reader{readerFor(Step.State)});
 }
 
 void hostChanged(step_context &Step, const std::string &Name,
--- a/src/serve/peer_links.cpp
+++ b/src/serve/peer_links.cpp
@@ -204,7 +204,8 @@
                 textOf(Call->path()),
                 textOf(Call->body()),
                 {},
-                duration(Call->limit_us())});
+                duration(Call->limit_us()),
+                Call->waits()});
   } else if (const auto *Answer = Message->body_as_RelayAnswer()) {
     relayAnswered(Answer->number(), {{Answer->status(), textOf(Answer->body())},
                                      true,
@@ -270,15 +271,15 @@
   const std::uint64_t Number = ++LastNumber;
   Relays[Number] = {toText(Peer), bootNow() + Call.Limit + RelaySlack,
                     std::move(Callback)};
-  dialled(Peer).send(
-      frameOf(wire::SessionBody_RelayCall,
-              [&](flatbuffers::FlatBufferBuilder &Builder) {
-                const auto Method = Builder.CreateString(Call.Method);
-                const auto Path = Builder.CreateString(Call.Path);
-                const auto Body = Builder.CreateString(Call.Body);
-                return wire::CreateRelayCall(Builder, Number, Method, Path,
-                                             Body, Call.Limit.count());
-              }));
+  dialled(Peer).send(frameOf(
+      wire::SessionBody_RelayCall,
+      [&](flatbuffers::FlatBufferBuilder &Builder) {
+        const auto Method = Builder.CreateString(Call.Method);
+        const auto Path = Builder.CreateString(Call.Path);
+        const auto Body = Builder.CreateString(Call.Body);
+        return wire::CreateRelayCall(Builder, Number, Method, Path, Body,
+                                     Call.Limit.count(), Call.Waits);
+      }));
 }
 
 void peer_links::carryOut(const proxy::effects::forward &Effect) {
--- a/src/serve/session_daemon.cpp
+++ b/src/serve/session_daemon.cpp
@@ -53,6 +53,10 @@
           return text_answer{StatusReady, formatMeters(Meters)};
         }) {
     Log.Host = Settings.Identity.Name;
+    Gateway.setWatchServer(
+        [this](const platform::http_call &Call, platform::http_callback Done) {
+          return Store.serveWatch(Call, std::move(Done));
+        });
   }
 
   event_sink sink() {
@@ -103,6 +107,7 @@
   void carryOut(const effects::ask_tokens &E) { Peers.carryOut(E); }
   void carryOut(const effects::grant_tokens &E) { Peers.carryOut(E); }
   void carryOut(const effects::set_peers &E) { Gateway.setPeers(E.Peers); }
+  void carryOut(const effects::set_reader &E) { Gateway.setReader(E.Reader); }
   void carryOut(const effects::set_ready &E) { Ready = E.Ready; }
   void carryOut(const effects::write_log &E) {
     Meters.Events[E.Event] += 1;
--- a/src/serve/store_gateway.cpp
+++ b/src/serve/store_gateway.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+/// A reader that failed is asked again after this.
+constexpr duration ReaderPause = std::chrono::seconds(3);
 constexpr unsigned StatusNone = 0;
 constexpr unsigned StatusTooMany = 429;
 constexpr unsigned StatusUnavailable = 503;
@@ -51,6 +53,10 @@
 
 void store_gateway::call(platform::http_link &Link, platform::http_call Call,
                          platform::http_callback Done) {
+  if (Call.Waits && Reader && bootNow() >= ReaderRetryAt) {
+    callReader(Call, std::move(Done));
+    return;
+  }
   const auto Way =
       proxy::chooseWay(Path, !Peers.empty(), Call.Waits, bootNow());
   if (Way == proxy::store_way::Relay)
@@ -59,6 +65,16 @@
     callDirectly(Link, std::move(Call), std::move(Done));
 }
 
+void store_gateway::callReader(const platform::http_call &Call,
+                               platform::http_callback Done) {
+  Peering.relay(*Reader, Call,
+                [this, Done = std::move(Done)](relay_answer Answer) {
+                  if (!isServed(Answer.Answer))
+                    ReaderRetryAt = bootNow() + ReaderPause;
+                  Done(std::move(Answer.Answer));
+                });
+}
+
 void store_gateway::callDirectly(platform::http_link &Link,
                                  platform::http_call Call,
                                  platform::http_callback Done) {
@@ -96,6 +112,11 @@
     Done({{}, true, true});
     return;
   }
+  if (Call.Waits && Watches &&
+      Watches(Call, [Done](platform::http_answer Answer) {
+        Done({std::move(Answer), true, false});
+      }))
+    return;
   // A link of its own: the peer's waiting calls must not hold up this host's.
   auto Link = std::make_shared<platform::http_link>(Io, Store);
   Link->call(std::move(Call), [Context = &Io, Link, Done = std::move(Done)](
--- a/src/serve/store_gateway.hpp
+++ b/src/serve/store_gateway.hpp
@@ -23,8 +23,14 @@
   store_gateway(const store_gateway &) = delete;
   store_gateway &operator=(const store_gateway &) = delete;
 
+  /// Answers a peer's watch from this host's own; false: it keeps none.
+  using watch_server =
+      std::function<bool(const platform::http_call &, platform::http_callback)>;
+
   [[nodiscard]] platform::platform_lanes makeLanes();
+  void setWatchServer(watch_server Server) { Watches = std::move(Server); }
   void setPeers(std::vector<endpoint> Known) { Peers = std::move(Known); }
+  void setReader(std::optional<endpoint> Known) { Reader = std::move(Known); }
   /// \brief Makes a call for a peer, unless this host is turned away itself.
   void relayFor(platform::http_call Call, relay_callback Done);
   /// \brief Reports when the host becomes isolated or joins again.
@@ -36,6 +42,8 @@
             platform::http_callback Done);
   void callDirectly(platform::http_link &Link, platform::http_call Call,
                     platform::http_callback Done);
+  void callReader(const platform::http_call &Call,
+                  platform::http_callback Done);
   void callThroughPeer(const platform::http_call &Call,
                        platform::http_callback Done);
   void noteDirect(bool Served);
@@ -48,6 +56,9 @@
   log_function Log;
   proxy::store_path Path;
   std::vector<endpoint> Peers;
+  std::optional<endpoint> Reader;
+  instant ReaderRetryAt{}; ///< The reader failed; it is asked again then.
+  watch_server Watches;
   std::vector<std::shared_ptr<platform::http_link>> Links; ///< Of store lanes.
   bool Isolated = false;
 };
--- a/tests/proxy/allowance_tests.cpp
+++ b/tests/proxy/allowance_tests.cpp
@@ -34,6 +34,7 @@
 
   static std::vector<std::string> names() {
     std::vector<std::string> Names;
+    Names.reserve(Hosts);
     for (std::size_t Host = 0; Host < Hosts; ++Host)
       Names.push_back(nameOf(Host));
     return Names;
@@ -137,6 +138,7 @@
 
 TEST_CASE("Few hosts earn a small burst, and every host names the same ones") {
   std::vector<std::string> Names;
+  Names.reserve(78);
   for (int Host = 0; Host < 77; ++Host)
     Names.push_back("host-" + std::to_string(Host));
   const auto Earners = earnersOf({Account, 25, 25}, Names);
@@ -168,6 +170,7 @@
   // tokens for one caller, and the second lapsed.
   constexpr std::size_t Many = 77;
   std::vector<std::string> Names;
+  Names.reserve(Many);
   for (std::size_t Host = 0; Host < Many; ++Host)
     Names.push_back("host-" + std::to_string(Host));
   std::vector<allowance_table> Tables(Many);
