Model the right to use primaries

Spin: two hosts, their leases in the store, one who replaces the primary; lost registrations, watches that lag, new incarnations. Holds; four broken variants (no wait for the registration, read before registering, hosts read before the record is closed, lease counted from the answer) are caught.

--- /dev/null
+++ b/models/primary_lease.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Checks the model of the right to use primaries and that its broken variants are caught.
+source "$(dirname "$0")/check.inc"
+must_hold primary_lease
+for variant in BROKEN_REGISTER BROKEN_ORDER BROKEN_LIST BROKEN_LEASE; do
+  must_break primary_lease "$variant"
+done
