Stop using a primary that leaves before its time is up; tidy

Cause: a draining primary was used until it was replaced, also when no replica could be promoted; a target that leaves may get no work after its drain period. The test fails before. Settings that nothing read are gone; how an attempt's end is told to the asking host and how a commit's position is kept have one place.

--- a/include/bronzespar/proxy/host.hpp
+++ b/include/bronzespar/proxy/host.hpp
@@ -15,9 +15,8 @@
   endpoint Peers; ///< Where other hosts reach it.
   duration MinimumLease = std::chrono::seconds(1);
   duration GracePeriod = std::chrono::seconds(6);
+  /// A target that leaves gets nothing new after this.
   duration DrainPeriod = std::chrono::seconds(7);
-  /// Span over which accounts' rates count.
-  duration RateWindow = std::chrono::seconds(5);
 };
 
 struct host;
--- a/src/proxy/listing.cpp
+++ b/src/proxy/listing.cpp
@@ -42,6 +42,8 @@
                        Target.Entry.SaysPrimary != Entry.SaysPrimary;
   if (Changed)
     logTarget(Step, "target.listed", Entry);
+  if (Entry.Draining && (IsNew || !Target.Entry.Draining))
+    Target.DrainingSince = Step.Now;
   Target.Listed = true;
   Target.Absent = false;
   Target.Entry = std::move(Entry);
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -31,6 +31,8 @@
 /// A new primary answers about this long before it is announced.
 constexpr duration ChangeSlack = std::chrono::milliseconds(50);
 
+/// The list lags behind the store, and a statement is on its way for a while.
+constexpr duration LeavingMargin = std::chrono::milliseconds(1000);
 /// Statements that an owner leaves waiting at the target, so that its slots are
 /// never idle for a round trip.
 constexpr unsigned QueuedAtTarget = 2;
@@ -117,12 +119,21 @@
   std::optional<log_position> NotBefore;
 };
 
+/// A primary that leaves is used until it is replaced, but no longer than a
+/// target that leaves may get work at all.
+bool hasLeft(const host &State, const target_view &Target, instant Now) {
+  return Target.Entry.Draining &&
+         Now + LeavingMargin >=
+             Target.DrainingSince + State.Identity.DrainPeriod;
+}
+
 /// The target that another host chose, if it may be used as that host means.
 void addOnlyTarget(step_context &Step, const target_request &Request,
                    const group_state &Group, bool Leased,
                    std::vector<candidate> &Out) {
   target_view *Target = findIn(Step.State.Targets, Request.OnlyTarget);
-  if (Target == nullptr || !Target->Listed)
+  if (Target == nullptr || !Target->Listed ||
+      hasLeft(Step.State, *Target, Step.Now))
     return;
   const bool IsPrimary = Group.Record->Primary == Request.OnlyTarget;
   if (Request.NeedsPrimary ? IsPrimary && Leased : !Target->Entry.Draining)
@@ -148,6 +159,8 @@
     if (Target.Entry.Group != Request.Route.Group || !Target.Listed)
       continue;
     const bool IsPrimary = Group->Record->Primary == Id;
+    if (hasLeft(State, Target, Step.Now))
+      continue;
     // An owner uses a primary under its own lease.
     const bool OwnerMay =
         Group->Record->Open && ownerOf(State, Target, Step.Now).has_value();
--- a/src/proxy/requests.cpp
+++ b/src/proxy/requests.cpp
@@ -63,28 +63,31 @@
          Session->Transaction->Statements == 0;
 }
 
+/// Keeps the position of a commit, which the session's reads must cover.
+void rememberCommit(caller_session &Session, const answer &Answer,
+                    instant Now) {
+  if (!Answer.Position)
+    return;
+  Session.Written = std::max(Session.Written, Answer.Position);
+  Session.WrittenAt = Now;
+}
+
 /// Takes the answer of a statement that a target completed.
-void complete(step_context &Step, target_request &Request,
-              target_connection &Connection, answer &&Answer) {
+void complete(step_context &Step, target_request &Request, answer &&Answer) {
   caller_session *Session = sessionOf(Step, Request);
   const bool Commits = Request.Statement.Kind == statement_kind::Commit;
   if (Session != nullptr && Session->Transaction) {
     Session->Transaction->Statements += 1;
     Session->Transaction->LastUse = Step.Now;
-    const bool Wrote = Session->Transaction->Wrote;
     if (Commits) {
+      if (Session->Transaction->Wrote)
+        rememberCommit(*Session, Answer, Step.Now);
       Session->Transaction.reset();
       Session->Phase = session_phase::Idle;
-      if (Wrote && Answer.Position) {
-        Session->Written = std::max(Session->Written, Answer.Position);
-        Session->WrittenAt = Step.Now;
-      }
     }
-  } else if (Session != nullptr && Request.Writes && Answer.Position) {
-    Session->Written = std::max(Session->Written, Answer.Position);
-    Session->WrittenAt = Step.Now;
+  } else if (Session != nullptr && Request.Writes) {
+    rememberCommit(*Session, Answer, Step.Now);
   }
-  (void)Connection;
   finishRequest(Step, Request, std::move(Answer));
 }
 
@@ -101,6 +104,21 @@
   failWith(Step, Request, Code, std::move(Text));
 }
 
+/// Tells the asking host how the attempt ended; it chooses what to do next.
+void returnToAsker(step_context &Step, target_request &Request,
+                   caller_session &Session, answer_code Code, bool NotRun) {
+  answer_code Told = answer_code::InDoubt;
+  if (NotRun)
+    Told = isNotRun(Code) ? Code : answer_code::Busy;
+  else if (Request.InTransaction)
+    Told = lostInTransaction(Request, &Session);
+  if (Session.Transaction) {
+    failTransaction(Step, Session);
+    Session.Phase = session_phase::Idle;
+  }
+  failWith(Step, Request, Told, std::string(enumName(Code)));
+}
+
 void logOutcome(step_context &Step, const target_request &Request,
                 const answer &Answer, const std::string &Target) {
   const std::string_view Event = Answer.Code == answer_code::Complete
@@ -202,22 +220,6 @@
     drainBacklog(Step, *Session);
 }
 
-/// Tells the asking host how the attempt ended; it chooses what to do next.
-static void returnToAsker(step_context &Step, target_request &Request,
-                          caller_session &Session, answer_code Code,
-                          bool NotRun) {
-  answer_code Told = answer_code::InDoubt;
-  if (NotRun)
-    Told = isNotRun(Code) ? Code : answer_code::Busy;
-  else if (Request.InTransaction)
-    Told = lostInTransaction(Request, &Session);
-  if (Session.Transaction) {
-    failTransaction(Step, Session);
-    Session.Phase = session_phase::Idle;
-  }
-  failWith(Step, Request, Told, std::string(enumName(Code)));
-}
-
 void attemptFailed(step_context &Step, target_request &Request,
                    answer_code Code, bool NotRun) {
   caller_session *Session = sessionOf(Step, Request);
@@ -280,7 +282,7 @@
     Request->Connection = Connection.Number;
   }
   if (Answer.Code == answer_code::Complete) {
-    complete(Step, *Request, Connection, std::move(Answer));
+    complete(Step, *Request, std::move(Answer));
     return;
   }
   if (auto *Target = findIn(Step.State.Targets, Connection.Target))
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -132,6 +132,7 @@
   target_entry Entry;
   bool Listed = true;
   bool Absent = false;       ///< Not in the latest list; see listing.cpp.
+  instant DrainingSince{};   ///< When its entry first said so.
   double LatencyMs = 8;      ///< Of statements, smoothed.
   unsigned Connections = 0;  ///< Open or dialling.
   unsigned Running = 0;      ///< Statements under way from here.
--- a/src/serve/serve_settings.cpp
+++ b/src/serve/serve_settings.cpp
@@ -76,8 +76,6 @@
       secondsOf(numberOf(Sections, "bounds", "grace_period_s"));
   Out.Identity.DrainPeriod =
       millisecondsOf(numberOf(Sections, "bounds", "drain_ms"));
-  Out.Identity.RateWindow =
-      secondsOf(numberOf(Sections, "bounds", "rate_window_s"));
   return Out;
 }
 
--- a/tests/proxy/request_tests.cpp
+++ b/tests/proxy/request_tests.cpp
@@ -192,3 +192,27 @@
   for (const auto &Sent : Driver.take<effects::send_target>())
     CHECK(Sent.Connection != Begin.Connection);
 }
+
+TEST_CASE("A primary that leaves is used until its time, and no longer") {
+  host_driver Driver;
+  Driver.becomeReady();
+  auto Leaving = host_driver::entry("a", true);
+  Leaving.Draining = true;
+  Driver.send(events::targets_listed{{Leaving}});
+  const auto Sends = [&Driver](const std::string &Id) {
+    const session_number Session = Driver.openSession("live");
+    Driver.ask(Session, Id, statement_kind::Read, "READ 1");
+    Driver.connectAll();
+    const auto Sent = Driver.take<effects::send_target>();
+    for (const auto &Each : Sent)
+      Driver.send(events::target_answered{Each.Connection,
+                                          host_driver::completed({1, 0})});
+    return !Sent.empty();
+  };
+  CHECK(Sends("r1"));
+  for (int Part = 0; Part < 14; ++Part) {
+    Driver.wait(500ms);
+    Driver.grantLease(7);
+  }
+  CHECK_FALSE(Sends("r2"));
+}
