--- /dev/null
+++ b/tests/proxy/parts_tests.cpp
@@ -0,0 +1,114 @@
+/// The small decisions: queue order, freshness, placement, the way to the
+/// store.
+#include <bronzespar/proxy/freshness.hpp>
+#include <bronzespar/proxy/placement.hpp>
+#include <bronzespar/proxy/store_path.hpp>
+#include <bronzespar/proxy/waiting_queue.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <map>
+
+using namespace bronzespar;
+using namespace bronzespar::proxy;
+
+namespace {
+
+const instant Start = instant(1000s);
+
+/// Serves the first item. \returns Its request.
+std::uint64_t serveFirst(waiting_queue &Queue) {
+  const auto [Rank, Request] = *Queue.Items.begin();
+  serve(Queue, Rank);
+  return Request;
+}
+
+} // namespace
+
+TEST_CASE("An account that floods the queue gets its share, not all of it") {
+  waiting_queue Queue;
+  for (std::uint64_t Request = 0; Request < 90; ++Request)
+    enqueue(Queue, Request, "hot", 2, 1);
+  for (std::uint64_t Request = 100; Request < 110; ++Request)
+    enqueue(Queue, Request, "calm", 2, 1);
+  unsigned Calm = 0;
+  for (int Served = 0; Served < 20; ++Served)
+    Calm += serveFirst(Queue) >= 100 ? 1 : 0;
+  CHECK(Calm >= 9);
+}
+
+TEST_CASE("Urgent routes go first, and an empty queue forgets its shares") {
+  waiting_queue Queue;
+  enqueue(Queue, 1, "a", 2, 1);
+  const waiting_rank Urgent = enqueue(Queue, 2, "a", 1, 1);
+  CHECK(Queue.Items.begin()->first == Urgent);
+  withdraw(Queue, Urgent);
+  CHECK(serveFirst(Queue) == 1);
+  CHECK(Queue.FinishTags.empty());
+}
+
+TEST_CASE("A read of bounded age needs the oldest position that proves it") {
+  freshness_samples Samples;
+  addSample(Samples, {1, 10}, Start);
+  addSample(Samples, {1, 20}, Start + 500ms);
+  addSample(Samples, {1, 30}, Start + 1000ms);
+  const auto Found = positionForAge(Samples, Start + 1200ms, 800ms);
+  REQUIRE(Found);
+  CHECK(Found->Position == log_position{1, 20});
+  CHECK_FALSE(positionForAge(Samples, Start + 3000ms, 800ms));
+}
+
+TEST_CASE("Samples are few, and closer ones are left out") {
+  freshness_samples Samples;
+  for (int Step = 0; Step < 1000; ++Step)
+    addSample(Samples, {1, static_cast<std::uint64_t>(Step)},
+              Start + Step * 10ms);
+  CHECK(Samples.Samples.size() == freshness_samples::MaxSamples);
+  CHECK(Samples.Samples.back().AskedAt - Samples.Samples.front().AskedAt >=
+        (freshness_samples::MaxSamples - 1) * freshness_samples::Spacing);
+}
+
+TEST_CASE("A slow target is left for a new connection at a quick one") {
+  std::array<placement_option, 2> Options;
+  Options[0] = {0, 120, 1, true, false, false, 7, false, false};
+  Options[1] = {1, 8, 0, true, false, false, 0, true, false};
+  const auto Chosen = choosePlacement(Options);
+  REQUIRE(Chosen);
+  CHECK(Chosen->Target == 1);
+}
+
+TEST_CASE("Reads leave the primary to those that need it") {
+  std::array<placement_option, 2> Options;
+  Options[0] = {0, 10, 0, true, false, true, 7, false, false};
+  Options[1] = {1, 10, 0, true, false, false, 8, false, false};
+  CHECK(choosePlacement(Options)->Target == 1);
+  Options[1].Connection = 0;
+  CHECK(choosePlacement(Options)->Target == 0);
+  CHECK_FALSE(choosePlacement({}));
+}
+
+TEST_CASE("A host that is turned away goes through peers and tries again") {
+  store_path Path;
+  CHECK(chooseWay(Path, true, false, Start) == store_way::Direct);
+  directEnded(Path, false, Start);
+  CHECK(chooseWay(Path, true, false, Start + 100ms) == store_way::Relay);
+  CHECK(chooseWay(Path, false, false, Start + 100ms) == store_way::Direct);
+  // A waiting call would not show for seconds that the store is back.
+  CHECK(chooseWay(Path, true, true, Start + 10s) == store_way::Relay);
+  CHECK(chooseWay(Path, true, false, Start + 10s) == store_way::Direct);
+  directEnded(Path, true, Start + 10s);
+  CHECK(chooseWay(Path, true, true, Start + 10s) == store_way::Direct);
+}
+
+TEST_CASE("A host is isolated once neither store nor peers answer") {
+  store_path Path;
+  directEnded(Path, true, Start);
+  directEnded(Path, false, Start + 600ms);
+  relayEnded(Path, true, false, Start + 700ms);
+  CHECK_FALSE(isIsolated(Path, Start + 2000ms));
+  relayEnded(Path, false, false, Start + 2000ms);
+  CHECK(isIsolated(Path, Start + 2400ms));
+  relayEnded(Path, true, true, Start + 2500ms);
+  CHECK_FALSE(isIsolated(Path, Start + 2600ms));
+}
