--- a/programs/sessiond/main.cpp
+++ b/programs/sessiond/main.cpp
@@ -23,6 +23,17 @@
   return Text.str();
 }
 
+/// Reads the settings again. \returns What is to be said of them.
+std::string reread(const std::string &Path) {
+  const auto Text = readFile(Path);
+  if (!Text)
+    return "the settings file cannot be read";
+  std::string Fault;
+  return bronzespar::serve::parseServeSettings(*Text, Fault)
+             ? "usable; addresses apply from the next start"
+             : "unusable: " + Fault;
+}
+
 int run(const std::string &Path) {
   const auto Text = readFile(Path);
   if (!Text) {
@@ -36,7 +47,8 @@
     std::cerr << "bronzespar-sessiond: " << Path << ": " << Fault << '\n';
     return ExitSettings;
   }
-  return bronzespar::serve::runSessionDaemon(*Settings);
+  return bronzespar::serve::runSessionDaemon(*Settings,
+                                             [Path] { return reread(Path); });
 }
 
 } // namespace
--- a/src/serve/session_daemon.cpp
+++ b/src/serve/session_daemon.cpp
@@ -32,8 +32,10 @@
 constexpr unsigned StatusUnknownPath = 404;
 
 struct session_daemon {
-  explicit session_daemon(const serve_settings &Settings)
-      : Host(proxy::makeHost(Settings.Identity)), Ticker(Io), Signals(Io),
+  session_daemon(const serve_settings &Settings,
+                 std::function<std::string()> RereadSettings)
+      : Reread(std::move(RereadSettings)),
+        Host(proxy::makeHost(Settings.Identity)), Ticker(Io), Signals(Io),
         Callers(Io, Settings.Callers, sink()), Targets(Io, sink()),
         Peers(Io, Settings.Identity.Peers, sink(),
               [this](platform::http_call Call, relay_callback Done) {
@@ -143,7 +145,7 @@
           if (Cancelled)
             return;
           if (Number == SIGHUP)
-            logNow("settings.signal", {});
+            logNow("settings.reread", {{"result", Reread()}});
           else
             post(proxy::events::stop_requested{});
           awaitSignal();
@@ -168,6 +170,7 @@
     return 0;
   }
 
+  std::function<std::string()> Reread;
   asio::io_context Io{1};
   proxy::host_pointer Host;
   std::deque<proxy::event> Events;
@@ -189,8 +192,9 @@
 
 } // namespace
 
-int runSessionDaemon(const serve_settings &Settings) {
-  session_daemon Daemon(Settings);
+int runSessionDaemon(const serve_settings &Settings,
+                     std::function<std::string()> Reread) {
+  session_daemon Daemon(Settings, std::move(Reread));
   return Daemon.run();
 }
 
--- /dev/null
+++ b/tests/serve/settings_tests.cpp
@@ -0,0 +1,86 @@
+/// A session host's settings, its log's budget and its meters.
+#include <serve/journal.hpp>
+#include <serve/meters.hpp>
+#include <serve/serve_settings.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+
+using namespace bronzespar;
+using namespace bronzespar::serve;
+
+namespace {
+
+const std::string Good = R"([host]
+id = edge-1
+data_centre = suva
+callers = 10.1.0.26:8465
+readiness = 10.1.0.26:8460
+peers = 10.1.0.26:7560
+metrics = 10.1.0.26:7561
+[platform]
+store = 10.200.1.7:8466
+duty = 10.200.0.2:8466
+minimum_lease_ms = 1000
+[bounds]
+grace_period_s = 6
+drain_ms = 7000
+)";
+
+} // namespace
+
+TEST_CASE("A session host's settings are read whole or refused by name") {
+  std::string Fault;
+  const auto Settings = parseServeSettings(Good, Fault);
+  REQUIRE(Settings);
+  CHECK(Settings->Identity.GracePeriod == 6s);
+  CHECK(Settings->Identity.DrainPeriod == 7s);
+  CHECK(Settings->Store == endpoint{"10.200.1.7", 8466});
+  std::string Missing = Good;
+  Missing.erase(Missing.find("duty"),
+                std::string("duty = 10.200.0.2:8466\n").size());
+  CHECK_FALSE(parseServeSettings(Missing, Fault));
+  CHECK(Fault == "[platform] lacks duty");
+  std::string Wrong = Good;
+  Wrong.replace(Wrong.find("= 6\n"), 3, "= soon");
+  CHECK_FALSE(parseServeSettings(Wrong, Fault));
+  CHECK(Fault == "line 13: grace_period_s is no number");
+  CHECK_FALSE(parseServeSettings("[host", Fault));
+}
+
+TEST_CASE("A kind of log line has a budget, and says what it left out") {
+  journal Log;
+  Log.Host = "edge-1";
+  const instant Now(1000s);
+  for (int Line = 0; Line < 100; ++Line)
+    addLine(Log, {"statement.failed", {{"request", "r\"1"}}}, Now);
+  const auto Lines = std::count(Log.Pending.begin(), Log.Pending.end(), '\n');
+  CHECK(Lines == 40);
+  CHECK(Log.Pending.find("\"request\":\"r\\\"1\"") != std::string::npos);
+  addLine(Log, {"statement.failed", {}}, Now + 1s);
+  CHECK(Log.Pending.find("\"dropped_before\":60") != std::string::npos);
+}
+
+TEST_CASE("The log holds a bounded number of bytes") {
+  journal Log;
+  const std::string Long(4000, 'x');
+  for (int Second = 0; Second < 100; ++Second)
+    addLine(Log, {"statement.failed", {{"cause", Long}}},
+            instant(std::chrono::seconds(Second)));
+  CHECK(Log.Pending.size() <= journal::MaxPendingBytes);
+  CHECK(Log.DroppedBytes > 0);
+}
+
+TEST_CASE("Meters are told by class, account and code") {
+  meters Meters;
+  countOutcome(Meters, {"Primary", "rago", proxy::answer_code::Complete, 3ms});
+  countOutcome(Meters, {"Primary", "rago", proxy::answer_code::Busy, 9ms});
+  const std::string Text = formatMeters(Meters);
+  CHECK(
+      Text.find("bronzespar_statements_total{class=\"Primary\",code=\"Busy\"} "
+                "1") != std::string::npos);
+  CHECK(Text.find("bronzespar_latency_ms_count{account=\"rago\"} 2") !=
+        std::string::npos);
+}
