Choose hosts for a duty, begin transactions and list peers in one place each

Read anew as a whole: earners and readers chose their hosts by the same loop (rendezvousFew now), sessions and owners began transactions with the same lines (openTransaction), and a read of all hosts told the adapters of peers and reader once for each host read (once for the read now; the last list is the same).

--- a/include/bronzespar/membership.hpp
+++ b/include/bronzespar/membership.hpp
@@ -123,6 +123,12 @@
 [[nodiscard]] std::optional<host_id>
 rendezvous(std::string_view Duty, const std::vector<host_id> &Candidates);
 
+/// \brief Chooses the first Count hosts for a duty, best first; fewer when
+/// there are not as many candidates.
+[[nodiscard]] std::vector<host_id>
+rendezvousFew(std::string_view Duty, std::vector<host_id> Candidates,
+              std::size_t Count);
+
 /// \brief Host that holds the pool of connections to a target: one of the
 /// target's data centre, or of any when none of them lives.
 [[nodiscard]] std::optional<host_id> poolOwner(const membership_state &State,
--- a/src/membership/duties.cpp
+++ b/src/membership/duties.cpp
@@ -72,6 +72,20 @@
   return *Best;
 }
 
+std::vector<host_id> rendezvousFew(std::string_view Duty,
+                                   std::vector<host_id> Candidates,
+                                   std::size_t Count) {
+  std::vector<host_id> Chosen;
+  while (Chosen.size() < Count) {
+    const auto Next = rendezvous(Duty, Candidates);
+    if (!Next)
+      break;
+    Chosen.push_back(*Next);
+    std::erase(Candidates, *Next);
+  }
+  return Chosen;
+}
+
 std::optional<host_id> poolOwner(const membership_state &State,
                                  const target_settings &Target) {
   const std::string Duty = "pool/" + Target.Id.Value;
--- a/src/proxy/allowance.cpp
+++ b/src/proxy/allowance.cpp
@@ -53,13 +53,10 @@
   for (const std::string &Host : Hosts)
     Left.emplace_back(Host);
   std::vector<std::string> Earners;
-  while (Earners.size() < Wanted) {
-    const auto Next = rendezvous("rate/" + Account.Name, Left);
-    if (!Next)
-      break;
-    Earners.push_back(Next->Value);
-    std::erase(Left, *Next);
-  }
+  Earners.reserve(Wanted);
+  for (const host_id &Earner :
+       rendezvousFew("rate/" + Account.Name, std::move(Left), Wanted))
+    Earners.push_back(Earner.Value);
   return Earners;
 }
 
--- a/src/proxy/owners.cpp
+++ b/src/proxy/owners.cpp
@@ -100,16 +100,6 @@
   answerSession(Step, Session, std::move(Answer));
 }
 
-void openTransaction(caller_session &Session, const session_route &Route,
-                     forward_begin Begins, instant Now) {
-  transaction_state Transaction;
-  Transaction.Route = Route;
-  Transaction.ReadOnly = Begins == forward_begin::BeginRead;
-  Transaction.LastUse = Now;
-  Session.Transaction = std::move(Transaction);
-  Session.Phase = session_phase::InTransaction;
-}
-
 session_route routeOf(const forwarded_statement &What) {
   session_route Route;
   Route.Group = What.Group;
@@ -201,7 +191,8 @@
     Session.Prepared[Asked.Statement.Name] = {Asked.Shape,
                                               Asked.Statement.Writes};
   if (Asked.Begins != forward_begin::None)
-    openTransaction(Session, routeOf(Asked), Asked.Begins, Step.Now);
+    openTransaction(Session, routeOf(Asked),
+                    Asked.Begins == forward_begin::BeginRead, Step.Now);
   target_request Request;
   Request.Number = nextNumber(State);
   Request.Session = Session.Number;
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -17,6 +17,9 @@
 void drainBacklog(step_context &Step, caller_session &Session);
 void endIdleTransactions(step_context &Step);
 
+/// \brief Begins a transaction of a caller or of another host's session.
+void openTransaction(caller_session &Session, session_route Route,
+                     bool IsReadOnly, instant Now);
 /// \brief Answers the statement that is outstanding, wherever its caller is.
 void answerSession(step_context &Step, const caller_session &Session,
                    answer Answer);
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -155,14 +155,8 @@
     if (Peer.Record.DataCentre == State.Identity.DataCentre &&
         !Peer.Record.Leaving)
       Near.emplace_back(Name);
-  std::vector<host_id> Readers;
-  while (Readers.size() < ReadersPerDataCentre) {
-    const auto Next = rendezvous("reader", Near);
-    if (!Next)
-      break;
-    Readers.push_back(*Next);
-    std::erase(Near, *Next);
-  }
+  const auto Readers =
+      rendezvousFew("reader", std::move(Near), ReadersPerDataCentre);
   const host_id Own(State.Identity.Name);
   if (std::find(Readers.begin(), Readers.end(), Own) != Readers.end())
     return std::nullopt;
@@ -188,8 +182,9 @@
   Step.Out.push_back(effects::set_reader{readerFor(Step.State)});
 }
 
-void hostChanged(step_context &Step, const std::string &Name,
-                 const store_record &Record) {
+/// Takes what the store says of a host.
+void noteHost(step_context &Step, const std::string &Name,
+              const store_record &Record) {
   auto Parsed = parseHostRecord(Record.Value);
   if (!Parsed)
     return;
@@ -198,13 +193,17 @@
   if (Name == Step.State.Identity.Name && Lease.RegisterCall == 0 &&
       !Lease.Registered.empty())
     Lease.Registered = Record.Value;
-  const std::size_t Before = Step.State.Hosts.size();
   Step.State.HostsVersion += 1;
   Step.State.HostsLost.erase(Name);
   Step.State.Hosts[Name] = {std::move(*Parsed), Record.Lease};
-  if (Step.State.Hosts.size() != Before) {
+}
+
+void hostChanged(step_context &Step, const std::string &Name,
+                 const store_record &Record) {
+  const std::size_t Before = Step.State.Hosts.size();
+  noteHost(Step, Name, Record);
+  if (Step.State.Hosts.size() != Before)
     listPeers(Step);
-  }
 }
 
 void dutyChanged(host &State, const store_record &Record) {
@@ -315,7 +314,8 @@
     Step.State.Hosts.clear();
     Step.State.HostsVersion += 1;
     for (const store_record &Record : What.Records)
-      recordChanged(Step, Record);
+      noteHost(Step, Record.Key.substr(HostsPrefix.size()), Record);
+    listPeers(Step);
     return;
   }
 }
--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -44,12 +44,8 @@
     replyNow(Step, Session, answer_code::Malformed, "a transaction is open");
     return;
   }
-  transaction_state Transaction;
-  Transaction.Route = Step.State.Settings->Routes.at(Session.Database);
-  Transaction.ReadOnly = Kind == statement_kind::BeginRead;
-  Transaction.LastUse = Step.Now;
-  Session.Transaction = std::move(Transaction);
-  Session.Phase = session_phase::InTransaction;
+  openTransaction(Session, Step.State.Settings->Routes.at(Session.Database),
+                  Kind == statement_kind::BeginRead, Step.Now);
   replyNow(Step, Session, answer_code::Complete);
 }
 
@@ -191,6 +187,16 @@
   drainBacklog(Step, *Session);
 }
 
+void openTransaction(caller_session &Session, session_route Route,
+                     bool IsReadOnly, instant Now) {
+  transaction_state Transaction;
+  Transaction.Route = std::move(Route);
+  Transaction.ReadOnly = IsReadOnly;
+  Transaction.LastUse = Now;
+  Session.Transaction = std::move(Transaction);
+  Session.Phase = session_phase::InTransaction;
+}
+
 void answerSession(step_context &Step, const caller_session &Session,
                    answer Answer) {
   if (Session.Origin)
