Answer hosts that are told by a reader within a second

Cause: in fleets above 12 hosts, most are told of the store's changes by a reader. Such a host's watch was relayed with the whole limit of a watch (4 s, 0.9 s of slack, 0.1 s for the way), so a reader that was cut off or silent kept a version from it for 5 s; and a reader that had itself lost the store left its peers waiting as long.

A reader now answers each watch after 1 s, changes or none, and fails those that wait as soon as it counts the store as lost; whoever gets no answer for 1.5 s asks the store itself. No call to the store is added.

Ruled out: shorter watches at the readers (priced calls); that the subscriber's own lease shows a lost reader (it does not: it goes to the store directly).

Conclusion: a lost reader costs 1.5 s, well inside the bound of 5 s.

--- a/src/serve/session_daemon.cpp
+++ b/src/serve/session_daemon.cpp
@@ -134,6 +134,7 @@
       Callers.dropSilent(bootNow());
       Gateway.supervise(bootNow());
       Peers.dropOverdue(bootNow());
+      Store.answerPeers();
       flushLines(Log);
       tick();
     });
--- a/src/serve/store_gateway.cpp
+++ b/src/serve/store_gateway.cpp
@@ -1,6 +1,8 @@
 /// Direct and relayed calls.
 #include "store_gateway.hpp"
 
+#include <platform/store_watch.hpp>
+
 #include <boost/asio/post.hpp>
 
 #include <utility>
@@ -11,6 +13,9 @@
 
 /// A reader that failed is asked again after this.
 constexpr duration ReaderPause = std::chrono::seconds(3);
+/// A reader answers each watch within PeerWait; later, it is lost or slow.
+constexpr duration ReaderLimit =
+    platform::PeerWait + std::chrono::milliseconds(500);
 constexpr unsigned StatusNone = 0;
 constexpr unsigned StatusTooMany = 429;
 constexpr unsigned StatusUnavailable = 503;
@@ -54,7 +59,7 @@
 void store_gateway::call(platform::http_link &Link, platform::http_call Call,
                          platform::http_callback Done) {
   if (Call.Waits && Reader && bootNow() >= ReaderRetryAt) {
-    callReader(Call, std::move(Done));
+    callReader(std::move(Call), std::move(Done));
     return;
   }
   const auto Way =
@@ -65,8 +70,9 @@
     callDirectly(Link, std::move(Call), std::move(Done));
 }
 
-void store_gateway::callReader(const platform::http_call &Call,
+void store_gateway::callReader(platform::http_call Call,
                                platform::http_callback Done) {
+  Call.Limit = ReaderLimit;
   Peering.relay(*Reader, Call,
                 [this, Done = std::move(Done)](relay_answer Answer) {
                   if (!isServed(Answer.Answer))
--- a/src/serve/store_gateway.hpp
+++ b/src/serve/store_gateway.hpp
@@ -42,8 +42,7 @@
             platform::http_callback Done);
   void callDirectly(platform::http_link &Link, platform::http_call Call,
                     platform::http_callback Done);
-  void callReader(const platform::http_call &Call,
-                  platform::http_callback Done);
+  void callReader(platform::http_call Call, platform::http_callback Done);
   void callThroughPeer(const platform::http_call &Call,
                        platform::http_callback Done);
   void noteDirect(bool Served);
