Let a host earn rates once the others count it

Cause: a host that knew no other host earned an account's whole rate, and each division was at least 200 ms from the last: eight hosts that start together earned eight times the rate for 200 ms and more, and hosts whose leases lapsed while the store was away did so on its return. A killed host's part was earned by others while the tokens that it had handed over were still in use.

A host that starts holds 0.3 s of its parts, which nobody earned while it was down.

Tests: tests/proxy/rates_tests.cpp plays eight and twelve hosts on one store.

--- a/include/bronzespar/proxy/allowance.hpp
+++ b/include/bronzespar/proxy/allowance.hpp
@@ -41,6 +41,10 @@
                  const std::vector<std::string> &Hosts, const std::string &Own,
                  instant Now);
 
+/// \brief Gives a new incarnation's buckets what nobody earned in its place
+/// while it was down.
+void grantFirstTokens(allowance_table &Table);
+
 /// \brief Stops earning until rates are divided again; tokens stay.
 void stopEarning(allowance_table &Table, instant Now);
 
--- a/src/proxy/allowance.cpp
+++ b/src/proxy/allowance.cpp
@@ -18,6 +18,9 @@
 constexpr double KeepSeconds = 0.3;
 /// Below this much of the own demand, other hosts are asked.
 constexpr double LowSeconds = 0.3;
+/// A process is down for this long at least, and its part is not earned by
+/// others before its lease has lapsed.
+constexpr double FirstSeconds = 0.3;
 /// Operations a second from which tokens are fetched ahead.
 constexpr double FetchAheadDemand = 2;
 /// Asked for at once; more would rest unused at one host.
@@ -83,6 +86,14 @@
   });
 }
 
+void grantFirstTokens(allowance_table &Table) {
+  for (auto &[Name, Allowance] : Table.Accounts) {
+    token_bucket &Bucket = Allowance.Bucket;
+    Bucket.Tokens = std::min(
+        Bucket.Tokens + Bucket.RatePerSecond * FirstSeconds, Bucket.Burst);
+  }
+}
+
 void stopEarning(allowance_table &Table, instant Now) {
   for (auto &[Name, Allowance] : Table.Accounts)
     resizeBucket(Allowance.Bucket, 0, Allowance.Bucket.Burst, Now);
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -317,10 +317,11 @@
     Request.TokenTaken = true;
     return true;
   }
-  if (Step.Now - Request.ArrivedAt < TokenWait)
+  const host &State = Step.State;
+  if (isJoining(State, Step.Now) ||
+      Step.Now - std::max(Request.ArrivedAt, State.EarningSince) < TokenWait)
     return false;
-  const duration Wait =
-      untilOwnToken(Step.State.Allowances, Request.Account, Step.Now);
+  const duration Wait = untilNextToken(State, Request.Account, Step.Now);
   refuseWaiting(Step, Request,
                 "the account is beyond its rate; retry after " +
                     std::to_string(static_cast<int>(toMilliseconds(Wait))) +
--- /dev/null
+++ b/tests/proxy/rates_tests.cpp
@@ -0,0 +1,163 @@
+/// Rates while hosts start, leave and return, with the store played by hand.
+#include "host_driver.hpp"
+
+#include <proxy/parts.hpp>
+
+#include <deque>
+#include <map>
+#include <memory>
+
+using namespace session_test;
+
+namespace {
+
+constexpr double Rate = 200;
+constexpr double Burst = 200;
+constexpr duration Turn = 5ms;
+/// From a change in the store to the hosts that watch it.
+constexpr duration WatchDelay = 60ms;
+constexpr duration AnswerDelay = 5ms;
+/// Stated tolerance of a window of 5 s.
+constexpr double Allowed = (Rate * 5 + Burst) * 1.1 + 20;
+
+/// Hosts that see each other's records through one store.
+struct rated_fleet {
+  struct late_event {
+    instant At{};
+    std::size_t Host = 0;
+    event What;
+  };
+  std::vector<std::unique_ptr<host_driver>> Hosts;
+  std::vector<instant> StartsAt;
+  std::deque<late_event> Late;
+  std::map<std::string, store_record> Records;
+  std::uint64_t Revision = 100;
+  instant Now = instant(1000s);
+
+  static std::string nameOf(std::size_t Host) {
+    return "host-" + std::to_string(Host);
+  }
+
+  explicit rated_fleet(std::size_t Count, duration BetweenStarts) {
+    for (std::size_t Host = 0; Host < Count; ++Host) {
+      Hosts.push_back(std::make_unique<host_driver>(nameOf(Host)));
+      StartsAt.push_back(Now + static_cast<int>(Host) * BetweenStarts);
+    }
+  }
+
+  void begin(std::size_t Host) {
+    proxy_settings Settings;
+    Settings.Version = 1;
+    Settings.Accounts["rago"] = {"rago", Rate, Burst};
+    deliver(Host, events::store_reached{true});
+    deliver(Host, events::settings_changed{Settings});
+    for (const auto &[Key, Record] : Records)
+      Late.push_back({Now + WatchDelay, Host, events::record_changed{Record}});
+  }
+
+  void deliver(std::size_t Host, event What) {
+    Hosts[Host]->Now = Now;
+    Hosts[Host]->send(std::move(What));
+  }
+
+  void tellAll(const event &What) {
+    for (std::size_t Host = 0; Host < Hosts.size(); ++Host)
+      Late.push_back({Now + WatchDelay, Host, What});
+  }
+
+  /// Plays the store for one host's calls.
+  void answerCalls(std::size_t Host) {
+    host_driver &Driver = *Hosts[Host];
+    for (const auto &Grant : Driver.take<effects::grant_lease>())
+      Late.push_back(
+          {Now + AnswerDelay, Host,
+           events::lease_answered{Host + 1, Grant.TimeToLive, Now, true}});
+    for (const auto &Renew : Driver.take<effects::renew_lease>())
+      Late.push_back({Now + AnswerDelay, Host,
+                      events::lease_answered{Renew.Lease, 1600ms, Now, true}});
+    for (const auto &Change : Driver.take<effects::change_records>()) {
+      for (const store_write &Write : Change.Writes) {
+        Records[Write.Key] = {Write.Key, Write.Value, ++Revision, Host + 1};
+        tellAll(events::record_changed{Records[Write.Key]});
+      }
+      Late.push_back(
+          {Now + AnswerDelay, Host,
+           events::change_ended{Change.Call, change_outcome::Done, Revision}});
+    }
+  }
+
+  void pass(duration Span) {
+    for (const instant End = Now + Span; Now < End; Now += Turn) {
+      std::deque<late_event> Due;
+      Due.swap(Late);
+      for (late_event &Each : Due)
+        if (Each.At <= Now && StartsAt[Each.Host] <= Now)
+          deliver(Each.Host, std::move(Each.What));
+        else if (StartsAt[Each.Host] <= Now)
+          Late.push_back(std::move(Each));
+      for (std::size_t Host = 0; Host < Hosts.size(); ++Host) {
+        if (StartsAt[Host] > Now)
+          continue;
+        if (StartsAt[Host] > Now - Turn)
+          begin(Host);
+        deliver(Host, events::tick{});
+        answerCalls(Host);
+      }
+    }
+  }
+
+  /// Leases lapsed while the store was away: on its return all records are
+  /// gone, and each host learns it with its next renewal.
+  void lapseAll() {
+    Records.clear();
+    for (std::size_t Host = 0; Host < Hosts.size(); ++Host) {
+      tellAll(events::record_removed{std::string(HostsPrefix) + nameOf(Host)});
+      Late.push_back({Now + static_cast<int>(Host) * 50ms, Host,
+                      events::lease_answered{0, {}, Now, true}});
+    }
+  }
+
+  /// Every host asks for as much as it can get. \returns What was admitted.
+  unsigned press(duration Span) {
+    unsigned Admitted = 0;
+    for (const instant End = Now + Span; Now < End;) {
+      pass(Turn);
+      for (std::size_t Host = 0; Host < Hosts.size(); ++Host) {
+        if (StartsAt[Host] > Now)
+          continue;
+        effect_list Out;
+        step_context Step{*Hosts[Host]->Host, Now, Out};
+        for (int Try = 0; Try < 4; ++Try)
+          Admitted += admitOperation(Step, "rago") ? 1 : 0;
+      }
+    }
+    return Admitted;
+  }
+};
+
+} // namespace
+
+TEST_CASE("Hosts that start together do not each earn the whole rate") {
+  // All hosts are killed while an account presses: each is the first that it
+  // knows of. The old ones may have spent the window's burst.
+  rated_fleet Fleet(8, 30ms);
+  const unsigned Before = static_cast<unsigned>(Burst + Rate);
+  CHECK(Before + Fleet.press(4s) <= Allowed);
+}
+
+TEST_CASE("Callers of a host that starts are served as soon as it may earn") {
+  // canoclaro-sul trouble-1: after all hosts had lost power, two hundred
+  // operations were refused for their accounts' rate within 400 ms.
+  rated_fleet Fleet(8, 5ms);
+  Fleet.pass(400ms);
+  CHECK(Fleet.press(100ms) >= Rate * 0.25);
+}
+
+TEST_CASE("Hosts whose leases lapsed together go on earning their parts") {
+  // The store was away and leases lapsed meanwhile: on its return the records
+  // of all hosts vanish before the first is there again.
+  rated_fleet Fleet(12, 30ms);
+  Fleet.press(5s);
+  Fleet.lapseAll();
+  CHECK(Fleet.press(5s) <= Allowed);
+}
