--- a/include/bronzespar/bronzespar.hpp
+++ b/include/bronzespar/bronzespar.hpp
@@ -17,6 +17,7 @@
 #include <bronzespar/instant.hpp>
 #include <bronzespar/key_table.hpp>
 #include <bronzespar/log_position.hpp>
+#include <bronzespar/log_story.hpp>
 #include <bronzespar/membership.hpp>
 #include <bronzespar/outcome.hpp>
 #include <bronzespar/peer_messages.hpp>
--- a/programs/bronzespar/command.hpp
+++ b/programs/bronzespar/command.hpp
@@ -24,13 +24,15 @@
   std::optional<endpoint> Platform;
   std::optional<endpoint> Host;
   std::string SettingsKey = "/bronzespar/settings";
+  std::string Log; ///< File to explain a request from; empty: ask a host.
   bool Json = false;
 };
 
 /// \brief `settings check|apply|get|describe`.
 [[nodiscard]] exit_code runSettings(const command_options &Options);
 
-/// \brief `status` and `explain REQUEST-ID`, asked from one host.
+/// \brief `status` and `explain REQUEST-ID`, asked from one host; `explain`
+/// also from the logs of session hosts.
 [[nodiscard]] exit_code runStatus(const command_options &Options);
 [[nodiscard]] exit_code runExplain(const command_options &Options);
 
--- a/programs/bronzespar/host_commands.cpp
+++ b/programs/bronzespar/host_commands.cpp
@@ -2,10 +2,12 @@
 #include "command.hpp"
 
 #include <bronzespar/client/http_call.hpp>
+#include <bronzespar/log_story.hpp>
 
 #include <boost/json.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
+#include <fstream>
 #include <iomanip>
 #include <iostream>
 
@@ -87,6 +89,21 @@
       [] { return exit_code::Failed; });
 }
 
+exit_code explainFromLog(const command_options &Options) {
+  std::ifstream Log(Options.Log);
+  if (!Log)
+    return wrongUse("cannot read " + Options.Log);
+  const request_story Story = explainRequest(Log, Options.Words[1]);
+  if (Story.Own.empty()) {
+    std::cerr << "bronzespar: no line of " << Options.Log << " names request "
+              << Options.Words[1]
+              << "; served requests are logged as a sample\n";
+    return exit_code::Failed;
+  }
+  std::cout << formatStory(Story);
+  return exit_code::Done;
+}
+
 } // namespace
 
 exit_code runStatus(const command_options &Options) {
@@ -98,6 +115,8 @@
 exit_code runExplain(const command_options &Options) {
   if (Options.Words.size() != 2)
     return wrongUse("explain wants one REQUEST-ID");
+  if (!Options.Log.empty())
+    return explainFromLog(Options);
   return ask(Options, "/v1/explain/" + Options.Words[1]);
 }
 
--- a/programs/bronzespar/main.cpp
+++ b/programs/bronzespar/main.cpp
@@ -23,7 +23,8 @@
   settings describe        print the table of all settings
   keys digest              read a key from standard input, print its digest
   status                   show a host's state (--host)
-  explain REQUEST-ID       show where a request's time went (--host)
+  explain REQUEST-ID       show where a request's time went (--host), or what
+                           the logs of session hosts tell of it (--log)
   chart check FILE...      check state charts
   chart show FILE          print a state chart as a table
 )";
@@ -46,6 +47,8 @@
   Add("version", "print the version");
   Add("platform", options::value<std::string>(), "platform's IP:PORT");
   Add("host", options::value<std::string>(), "a host's callers' IP:PORT");
+  Add("log", options::value<std::string>(),
+      "file with the logs of session hosts");
   Add("settings-key", options::value<std::string>(),
       "key of the settings in the platform's store");
   Add("json", "print JSON in place of a table");
@@ -88,6 +91,8 @@
   Result.Host = endpointOption(Values, "host");
   if (Values.count("settings-key") != 0)
     Result.SettingsKey = Values["settings-key"].as<std::string>();
+  if (Values.count("log") != 0)
+    Result.Log = Values["log"].as<std::string>();
   Result.Json = Values.count("json") != 0;
   return Result;
 }
--- /dev/null
+++ b/tests/observe/log_story_tests.cpp
@@ -0,0 +1,72 @@
+/// From a request's id to its cause, on lines of real runs.
+#include <bronzespar/log_story.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <sstream>
+
+namespace {
+
+using namespace bronzespar;
+
+/// As the users' bench prints them: its own time and the host come first.
+constexpr const char *RateLog =
+    R"(  1.20 edge-lautoka-2 {"wall_ms":1200,"now_us":1,"host":"edge-lautoka-2","event":"account.rate","account":"rago841","rate":"78.0","burst":"78.0","settings":"3"}
+  1.20 edge-nadi-1 {"wall_ms":1200,"now_us":1,"host":"edge-nadi-1","event":"account.rate","account":"rago841","rate":"78.0","burst":"78.0","settings":"3"}
+  4.90 edge-lautoka-2 {"wall_ms":4900,"now_us":1,"host":"edge-lautoka-2","event":"account.rate","account":"other","rate":"9.0","burst":"9.0","settings":"5"}
+  4.90 edge-lautoka-2 {"wall_ms":4901,"now_us":1,"host":"edge-lautoka-2","event":"account.rate","account":"rago841","rate":"25.0","burst":"25.0","settings":"5"}
+  6.00 edge-lautoka-2 {"wall_ms":6000,"now_us":1,"host":"edge-lautoka-2","event":"statement.failed","request":"03729dab08273828","code":"Aborted","account":"rago841","group":"locu66b","cause":"the account is beyond its rate; retry after 79 ms","settings":"5"}
+a line of the bench
+)";
+
+constexpr const char *PromotionLog =
+    R"({"wall_ms":100,"host":"edge-canoas-1","event":"duty.held","token":"33"}
+{"wall_ms":9950,"host":"edge-canoas-1","event":"promotion.begun","group":"xano55b","primary":"i-1"}
+{"wall_ms":9960,"host":"edge-canoas-1","event":"promotion.begun","group":"mita20a","primary":"i-2"}
+{"wall_ms":9000,"host":"edge-caxias-1","event":"primary.unreached","group":"xano55b","target":"i-1"}
+{"wall_ms":10000,"host":"edge-poa-a-1","event":"statement.failed","request":"77aa","code":"Busy","group":"xano55b","cause":"its primary is being replaced"}
+)";
+
+request_story explain(const char *Log, std::string_view Request) {
+  std::istringstream Text(Log);
+  return explainRequest(Text, Request);
+}
+
+} // namespace
+
+TEST_CASE("A refusal for the rate leads to the limits on that host") {
+  const auto Story = explain(RateLog, "03729dab08273828");
+  REQUIRE(Story.Own.size() == 1);
+  REQUIRE(Story.Related.size() == 2);
+  CHECK(Story.Related.front().Fields.at("rate") == "78.0");
+  CHECK(Story.Related.back().Fields.at("rate") == "25.0");
+  CHECK(Story.UnreadLines == 1);
+}
+
+TEST_CASE(
+    "A refusal during a change leads to that group's change, on any host") {
+  const auto Story = explain(PromotionLog, "77aa");
+  REQUIRE(Story.Related.size() == 2);
+  CHECK(Story.Related.front().Event == "primary.unreached");
+  CHECK(Story.Related.back().Event == "promotion.begun");
+  CHECK(Story.Related.back().Fields.at("group") == "xano55b");
+}
+
+TEST_CASE("A request that no line names has no story") {
+  const auto Story = explain(PromotionLog, "ffff");
+  CHECK(Story.Own.empty());
+  CHECK(Story.Related.empty());
+}
+
+TEST_CASE("A line that is cut or no object is passed over") {
+  CHECK_FALSE(parseStoryLine(R"({"host":"a","event":"x)"));
+  CHECK_FALSE(parseStoryLine("[1]"));
+  CHECK_FALSE(parseStoryLine(R"({"host":"a"})"));
+  CHECK_FALSE(parseStoryLine(""));
+}
+
+TEST_CASE("A story is told in the order of time") {
+  const std::string Text = formatStory(explain(PromotionLog, "77aa"));
+  CHECK(Text.find("-1000 ms") < Text.find("-50 ms"));
+  CHECK(Text.find("cause=its primary is being replaced") != std::string::npos);
+}
--- a/tests/programs/wrong-use.sh
+++ b/tests/programs/wrong-use.sh
@@ -36,6 +36,8 @@
 expect 2 duration bronzespar-load --run /dev/null --duration-s 0
 expect 2 seed bronzespar-load --run /dev/null --seed many
 expect 2 . bronzespard --config
+expect 2 'cannot read' bronzespar explain 77aa --log /nonexistent
+expect 1 'names request 77aa' bronzespar explain 77aa --log /dev/null
 
 [ "$failures" -eq 0 ] && echo "all programs passed"
 exit $((failures > 0))
