Ask an owner that may not lead yet again after a pause

A statement refused for lack of the lead is now tried again after 60, 120 and 240 ms. Test: owner_tests 'An owner that may not use the primary yet is asked again later' (failed before).

--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -340,7 +340,7 @@
     Order.push_back(Number);
   for (const request_number Number : Order) {
     target_request *Request = findIn(State.Requests, Number);
-    if (Request == nullptr || !Request->Rank)
+    if (Request == nullptr || !Request->Rank || Step.Now < Request->RetryAt)
       continue;
     const placement_class Class{Request->Route.Group, Request->Account,
                                 Request->NeedsPrimary};
--- a/src/proxy/requests.cpp
+++ b/src/proxy/requests.cpp
@@ -12,6 +12,8 @@
 
 /// A statement is tried at most this often; more would feed an overload.
 constexpr unsigned MaxAttempts = 4;
+/// Doubles with each attempt; four last as long as a host takes to start.
+constexpr duration LeadPause = std::chrono::milliseconds(30);
 /// A read is asked a second time after this many usual latencies.
 constexpr double OverdueLatencies = 5;
 /// Nor before this: short pauses of a target are usual.
@@ -243,6 +245,9 @@
         endOnTarget(Step, *Pinned);
       Session->Transaction->Connection = 0;
     }
+    // Whoever refused is about to gain or has just lost the right to lead.
+    if (Code == answer_code::ReadOnly)
+      Request.RetryAt = Step.Now + LeadPause * (1U << Request.Attempts);
     waitAgain(Step, Request);
     return;
   }
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -84,6 +84,7 @@
   instant ArrivedAt{};
   instant Deadline{};
   unsigned Attempts = 0;
+  instant RetryAt{};           ///< Not before this is it tried again.
   std::set<std::string> Avoid; ///< Targets that did not run it.
   /// Position that the target must cover; of the latest attempt.
   std::optional<log_position> NotBefore;
--- a/tests/proxy/owner_tests.cpp
+++ b/tests/proxy/owner_tests.cpp
@@ -126,3 +126,36 @@
   Driver.wait(2400ms);
   CHECK(Driver.take<effects::close_session>().size() == 1);
 }
+
+TEST_CASE("An owner that may not use the primary yet is asked again later") {
+  // canoclaro-sul inc-d800: owners that had just started refused, were asked
+  // four times within 8 ms, and the callers were refused.
+  host_driver Driver;
+  Driver.becomeReady();
+  for (int Host = 20; Host < 40; ++Host) {
+    host_record Other;
+    Other.Peers = {"10.0.0." + std::to_string(Host), 7560};
+    Other.DataCentre = "suva";
+    Driver.send(
+        events::record_changed{{"hosts/host-" + std::to_string(Host),
+                                formatRecord(Other), ++Driver.Revision, 8}});
+  }
+  const session_number Session = Driver.openSession("live");
+  Driver.ask(Session, "r1", statement_kind::Read, "READ 1");
+  auto Asked = Driver.take<effects::forward>();
+  REQUIRE(Asked.size() == 1);
+  const auto Refuse = [&] {
+    Driver.send(events::target_answered{
+        Asked.front().Ticket, host_driver::refused(answer_code::ReadOnly)});
+  };
+  Refuse();
+  Driver.wait(20ms);
+  CHECK(Driver.take<effects::forward>().empty());
+  CHECK(Driver.take<effects::answer_caller>().empty());
+  Driver.wait(60ms);
+  Asked = Driver.take<effects::forward>();
+  REQUIRE(Asked.size() == 1);
+  Driver.send(events::target_answered{Asked.front().Ticket,
+                                      host_driver::completed({1, 3})});
+  CHECK(Driver.take<effects::answer_caller>().size() == 1);
+}
