--- a/src/proxy/electors.cpp
+++ b/src/proxy/electors.cpp
@@ -23,9 +23,10 @@
 constexpr std::size_t FewElectors = 4;
 /// Until electors that are too few are replaced: other hosts may yet join.
 constexpr duration FewPause = std::chrono::seconds(3);
-/// Until electors that have gone are replaced. Work at the primary is
-/// interrupted, and most cuts and restarts are over by then.
-constexpr duration GonePause = std::chrono::seconds(30);
+/// Until electors that are not expected back are replaced. Work at the primary
+/// is interrupted, and most cuts and restarts are over by then; a data centre
+/// that is cut off after one has gone would leave too few.
+constexpr duration GonePause = std::chrono::seconds(8);
 /// Electors are asked this long before the lease ends: two rounds at least.
 constexpr duration AskAhead = std::chrono::milliseconds(700);
 constexpr duration RoundPause = std::chrono::milliseconds(300);
@@ -196,11 +197,12 @@
   const auto Left = static_cast<std::size_t>(std::count_if(
       Electors.begin(), Electors.end(),
       [&](const std::string &Name) { return Expected.contains(Name); }));
-  // A quarter may go before the others' work at the primary is interrupted.
-  const bool Gone = Left * 4 < Electors.size() * 3;
+  const bool Gone = Left < Electors.size();
+  // The record that is closed must not wait for those that are gone.
+  const bool Quick = Left * 2 >= Electors.size() || isAwayOver(State, Now);
   const bool Few = Electors.size() < FewElectors &&
                    chooseElectors(State, Now).size() > Electors.size();
-  if ((!Gone && !Few) || Group.ElectorsFitAt == instant{})
+  if ((!Gone && !Few) || !Quick || Group.ElectorsFitAt == instant{})
     Group.ElectorsFitAt = Now;
   return Now >= Group.ElectorsFitAt + (Few ? FewPause : GonePause);
 }
