Look at a group's electors twice a second, without a copy of the host list

Cause, found on reading the change again: the holder of the duty copied the list of hosts for each group on each tick of 20 ms: 8 groups x 81 names x 50 a second on the grown sites, and 19 million a second at 580 hosts and 650 groups. It now looks at each group's electors every 500 ms, 15 names at most.

--- a/src/proxy/electors.cpp
+++ b/src/proxy/electors.cpp
@@ -43,6 +43,14 @@
   return std::find(Names.begin(), Names.end(), Name) != Names.end();
 }
 
+bool isExpected(const host &State, const std::string &Name, instant Now) {
+  if (const auto Peer = State.Hosts.find(Name); Peer != State.Hosts.end())
+    return !Peer->second.Record.Leaving;
+  const auto Lost = State.HostsLost.find(Name);
+  return Lost != State.HostsLost.end() &&
+         Now < Lost->second.At + LostElectorReturns;
+}
+
 /// Data centres of the hosts that live or are expected back, by name.
 std::map<std::string, std::string> expectedHosts(const host &State,
                                                  instant Now) {
@@ -192,11 +200,11 @@
 }
 
 bool areElectorsStale(const host &State, group_state &Group, instant Now) {
-  const auto Expected = expectedHosts(State, Now);
   const auto &Electors = Group.Record->Electors;
-  const auto Left = static_cast<std::size_t>(std::count_if(
-      Electors.begin(), Electors.end(),
-      [&](const std::string &Name) { return Expected.contains(Name); }));
+  const auto Left = static_cast<std::size_t>(
+      std::count_if(Electors.begin(), Electors.end(), [&](const auto &Name) {
+        return isExpected(State, Name, Now);
+      }));
   const bool Gone = Left < Electors.size();
   // The record that is closed must not wait for those that are gone.
   const bool Quick = Left * 2 >= Electors.size() || isAwayOver(State, Now);
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -25,6 +25,8 @@
 constexpr duration LostHostVotes = std::chrono::seconds(5);
 /// A host that neither acknowledges nor lets its lease lapse loses it then.
 constexpr duration HoldoutLimit = std::chrono::milliseconds(2500);
+/// Between two looks at a group's electors; there may be hundreds of groups.
+constexpr duration ElectorCheckPause = std::chrono::milliseconds(500);
 constexpr duration ChangeRetry = std::chrono::milliseconds(200);
 /// A read that was not answered within this is asked again.
 constexpr duration ReadRetry = std::chrono::milliseconds(1600);
@@ -143,7 +145,10 @@
 void considerRefresh(step_context &Step, const std::string &Name,
                      group_state &Group) {
   if (Group.Promotion.Stage != promotion_stage::None ||
-      !areElectorsStale(Step.State, Group, Step.Now))
+      Step.Now < Group.NextElectorCheck)
+    return;
+  Group.NextElectorCheck = Step.Now + ElectorCheckPause;
+  if (!areElectorsStale(Step.State, Group, Step.Now))
     return;
   Group.ElectorsFitAt = Step.Now;
   Group.Promotion = {};
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -195,6 +195,7 @@
   /// Until then another host may rely on what this one vouched.
   instant VouchedUntil{};
   instant ElectorsFitAt{}; ///< When the record's electors last sufficed.
+  instant NextElectorCheck{};
 };
 
 struct lease_state {
