Give each piece that stood twice one place

Behaviour is the same; no test lost an assertion.

- Closing a target's connections stood in listing.cpp and primaries.cpp, one of them without the check that the loss of one may have closed another: loseConnections.
- Whether a host acknowledged a closed record stood in promotion.cpp and electors.cpp: hasAcknowledged.
Which hosts are expected back stood twice in electors.cpp: isExpected.
- The part of a lease and of a vouch that is relied on: usablePart.
The hint in refusals: retryAfter.
Reading a text file: readTextFile (operators' tool and bronzespar-sessiond).

Left as they are: the write loops of frame_socket and line_socket (one drops what is too much, the other fails, writes at once and closes after sending), generated code, the text files of the charts, stand-in, load tool and bronzespard (an empty file is a fault there).

--- a/include/bronzespar/bronzespar.hpp
+++ b/include/bronzespar/bronzespar.hpp
@@ -27,5 +27,6 @@
 #include <bronzespar/session_token.hpp>
 #include <bronzespar/state_chart.hpp>
 #include <bronzespar/target_messages.hpp>
+#include <bronzespar/text_file.hpp>
 #include <bronzespar/token_bucket.hpp>
 #include <bronzespar/trace.hpp>
--- a/include/bronzespar/proxy/allowance.hpp
+++ b/include/bronzespar/proxy/allowance.hpp
@@ -72,8 +72,5 @@
                               instant Now);
 void receiveTokens(allowance_table &Table, const std::string &Account,
                    double Tokens, instant Now);
-/// \brief Time until this host earns a token by itself.
-[[nodiscard]] duration untilOwnToken(const allowance_table &Table,
-                                     const std::string &Account, instant Now);
 
 } // namespace bronzespar::proxy
--- a/programs/bronzespar/command.hpp
+++ b/programs/bronzespar/command.hpp
@@ -45,7 +45,4 @@
 /// \brief Prints "bronzespar: MESSAGE" and what to do.
 exit_code wrongUse(const std::string &Message);
 
-/// \brief Reads a file whole. \returns Nothing when it cannot be read.
-[[nodiscard]] std::optional<std::string> readFile(const std::string &Name);
-
 } // namespace bronzespar::tool
--- a/programs/bronzespar/main.cpp
+++ b/programs/bronzespar/main.cpp
@@ -3,9 +3,7 @@
 
 #include <boost/program_options.hpp>
 
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace bronzespar::tool {
 
@@ -132,15 +130,6 @@
   return exit_code::WrongUse;
 }
 
-std::optional<std::string> readFile(const std::string &Name) {
-  std::ifstream File(Name);
-  if (!File)
-    return std::nullopt;
-  std::ostringstream Text;
-  Text << File.rdbuf();
-  return Text.str();
-}
-
 } // namespace bronzespar::tool
 
 int main(int Count, char **Arguments) {
--- a/programs/bronzespar/offline_commands.cpp
+++ b/programs/bronzespar/offline_commands.cpp
@@ -3,6 +3,7 @@
 
 #include <bronzespar/key_table.hpp>
 #include <bronzespar/state_chart.hpp>
+#include <bronzespar/text_file.hpp>
 
 #include <boost/leaf/handle_errors.hpp>
 
@@ -44,7 +45,7 @@
 /// Reads one chart. Names are not checked against the daemon's tables here;
 /// the daemon does so when it loads the chart.
 bool readChart(const std::string &Name, bool Show) {
-  const auto Text = readFile(Name);
+  const auto Text = readTextFile(Name);
   if (!Text) {
     std::cerr << "bronzespar: cannot read " << Name << '\n';
     return false;
--- a/programs/bronzespar/settings_command.cpp
+++ b/programs/bronzespar/settings_command.cpp
@@ -4,6 +4,7 @@
 #include <bronzespar/client/store.hpp>
 #include <bronzespar/fleet_settings.hpp>
 #include <bronzespar/setting_rules.hpp>
+#include <bronzespar/text_file.hpp>
 
 #include <boost/leaf/handle_errors.hpp>
 
@@ -17,7 +18,7 @@
 
 /// Reads and checks the file; prints what is wrong with it.
 std::optional<std::string> readChecked(const std::string &Name) {
-  auto Text = readFile(Name);
+  auto Text = readTextFile(Name);
   if (!Text) {
     std::cerr << "bronzespar: cannot read " << Name << '\n';
     return std::nullopt;
--- a/programs/sessiond/main.cpp
+++ b/programs/sessiond/main.cpp
@@ -1,31 +1,21 @@
 /// bronzespar-sessiond: serves callers' sessions before database groups.
 #include <serve/session_daemon.hpp>
 
+#include <bronzespar/text_file.hpp>
 #include <platform/node_file.hpp>
 
 #include <boost/program_options.hpp>
 
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace {
 
 constexpr int ExitUsage = 2;
 constexpr int ExitSettings = 3;
 
-std::optional<std::string> readFile(const std::string &Path) {
-  std::ifstream File(Path);
-  if (!File)
-    return std::nullopt;
-  std::ostringstream Text;
-  Text << File.rdbuf();
-  return Text.str();
-}
-
 /// Reads the settings again. \returns What is to be said of them.
 std::string reread(const std::string &Path) {
-  const auto Text = readFile(Path);
+  const auto Text = bronzespar::readTextFile(Path);
   if (!Text)
     return "the settings file cannot be read";
   std::string Fault;
@@ -35,7 +25,7 @@
 }
 
 int run(const std::string &Path) {
-  const auto Text = readFile(Path);
+  const auto Text = bronzespar::readTextFile(Path);
   if (!Text) {
     std::cerr << "bronzespar-sessiond: cannot read settings file '" << Path
               << "'\n";
--- a/src/proxy/allowance.cpp
+++ b/src/proxy/allowance.cpp
@@ -169,11 +169,4 @@
   Found->second.ReceivedAt = Now;
 }
 
-duration untilOwnToken(const allowance_table &Table, const std::string &Account,
-                       instant Now) {
-  const auto Found = Table.Accounts.find(Account);
-  return Found == Table.Accounts.end() ? duration::zero()
-                                       : untilToken(Found->second.Bucket, Now);
-}
-
 } // namespace bronzespar::proxy
--- a/src/proxy/connections.cpp
+++ b/src/proxy/connections.cpp
@@ -470,6 +470,26 @@
     attemptLost(Step, Lost.Request, Number, false);
 }
 
+void loseConnections(step_context &Step, const std::string &Target,
+                     bool OnlyInUse) {
+  std::vector<connection_number> Numbers;
+  for (const auto &[Number, Connection] : Step.State.Connections) {
+    const bool InUse = Connection.Phase != connection_phase::Dialling &&
+                       Connection.Phase != connection_phase::Idle;
+    if (Connection.Target == Target && (InUse || !OnlyInUse))
+      Numbers.push_back(Number);
+  }
+  for (const connection_number Number : Numbers) {
+    // The loss of one may have closed another.
+    const target_connection *Connection =
+        findIn(Step.State.Connections, Number);
+    if (Connection == nullptr)
+      continue;
+    emitClose(Step, *Connection);
+    targetLost(Step, Number);
+  }
+}
+
 void superviseConnections(step_context &Step) {
   std::vector<connection_number> Close;
   for (auto &[Number, Connection] : Step.State.Connections) {
--- a/src/proxy/electors.cpp
+++ b/src/proxy/electors.cpp
@@ -30,8 +30,6 @@
 /// Electors are asked this long before the lease ends: two rounds at least.
 constexpr duration AskAhead = std::chrono::milliseconds(700);
 constexpr duration RoundPause = std::chrono::milliseconds(300);
-/// Part of VouchLength that is relied on; covers timer lateness.
-constexpr double UsablePart = 0.9;
 /// A host that left without a word may come back: processes restart.
 constexpr duration LostElectorReturns = std::chrono::seconds(5);
 
@@ -43,6 +41,7 @@
   return std::find(Names.begin(), Names.end(), Name) != Names.end();
 }
 
+/// Whether a host lives or is expected back.
 bool isExpected(const host &State, const std::string &Name, instant Now) {
   if (const auto Peer = State.Hosts.find(Name); Peer != State.Hosts.end())
     return !Peer->second.Record.Leaving;
@@ -56,10 +55,10 @@
                                                  instant Now) {
   std::map<std::string, std::string> Expected;
   for (const auto &[Name, Lost] : State.HostsLost)
-    if (Now < Lost.At + LostElectorReturns)
+    if (isExpected(State, Name, Now))
       Expected[Name] = Lost.DataCentre;
   for (const auto &[Name, Peer] : State.Hosts)
-    if (!Peer.Record.Leaving)
+    if (isExpected(State, Name, Now))
       Expected[Name] = Peer.Record.DataCentre;
   return Expected;
 }
@@ -94,8 +93,6 @@
   const std::size_t Electors = Group.Record->Electors.size();
   if (Group.Vouchers.size() * 2 <= Electors)
     return;
-  const auto Usable = duration(static_cast<duration::rep>(
-      static_cast<double>(VouchLength.count()) * UsablePart));
   if (Group.ProvenUntil < Step.Now)
     logLine(Step, "primary.vouched",
             {{"group", Name},
@@ -104,7 +101,7 @@
              {"electors", std::to_string(Electors)},
              {"store_heard_ms_ago",
               ageText(Step.State.Electors.StoreHeardAt, Step.Now)}});
-  Group.ProvenUntil = Step.State.Electors.SentAt + Usable;
+  Group.ProvenUntil = Step.State.Electors.SentAt + usablePart(VouchLength);
 }
 
 /// Begins a round; this host is its own voucher where it is an elector.
@@ -228,12 +225,8 @@
       Record.Electors.begin(), Record.Electors.end(),
       [&](const std::string &Name) {
         const auto Peer = State.Hosts.find(Name);
-        if (Peer == State.Hosts.end())
-          return false;
-        const auto &Acknowledged = Peer->second.Record.Acknowledged;
-        const auto Found = Acknowledged.find(Group);
-        return Found != Acknowledged.end() &&
-               Found->second >= Record.Generation;
+        return Peer != State.Hosts.end() &&
+               hasAcknowledged(Peer->second.Record, Group, Record.Generation);
       }));
   return Stopped * 2 >= Record.Electors.size();
 }
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -119,6 +119,16 @@
   Step.Out.push_back(effects::write_log{Event, Fields});
 }
 
+std::string retryAfter(duration Wait) {
+  return "retry after " + ageText(instant{}, instant(Wait)) + " ms";
+}
+
+duration usablePart(duration Length) noexcept {
+  constexpr double Part = 0.9;
+  return duration(
+      static_cast<duration::rep>(static_cast<double>(Length.count()) * Part));
+}
+
 std::string ageText(instant Then, instant Now) {
   return std::to_string(
       std::chrono::duration_cast<std::chrono::milliseconds>(Now - Then)
--- /dev/null
+++ b/src/proxy/json_object.cpp
@@ -0,0 +1,28 @@
+/// JSON objects by Boost.JSON.
+#include "json_object.hpp"
+
+#include <utility>
+
+namespace bronzespar::proxy {
+
+namespace json = boost::json;
+
+std::optional<json::object> parseObject(std::string_view Text) {
+  boost::system::error_code Error;
+  json::value Value = json::parse({Text.data(), Text.size()}, Error);
+  if (Error || !Value.is_object())
+    return std::nullopt;
+  return std::move(Value.as_object());
+}
+
+std::optional<std::uint64_t> numberOf(const json::value *Value) {
+  if (Value == nullptr)
+    return std::nullopt;
+  boost::system::error_code Error;
+  const auto Number = Value->to_number<std::uint64_t>(Error);
+  if (Error)
+    return std::nullopt;
+  return Number;
+}
+
+} // namespace bronzespar::proxy
--- a/src/proxy/listing.cpp
+++ b/src/proxy/listing.cpp
@@ -10,17 +10,6 @@
 
 namespace {
 
-void closeAll(step_context &Step, const std::string &Target) {
-  std::vector<connection_number> Numbers;
-  for (const auto &[Number, Connection] : Step.State.Connections)
-    if (Connection.Target == Target)
-      Numbers.push_back(Number);
-  for (const connection_number Number : Numbers) {
-    emitClose(Step, Step.State.Connections.at(Number));
-    targetLost(Step, Number);
-  }
-}
-
 void logTarget(step_context &Step, std::string_view Event,
                const target_entry &Entry) {
   logLine(Step, Event,
@@ -48,7 +37,7 @@
   Target.Absent = false;
   Target.Entry = std::move(Entry);
   if (Restarted) {
-    closeAll(Step, Target.Entry.Id);
+    loseConnections(Step, Target.Entry.Id, false);
     Target.Known = {};
     Target.DialAfter = {};
   }
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -88,6 +88,10 @@
 void targetRefused(step_context &Step, const events::target_refused &What);
 void targetAnswered(step_context &Step, events::target_answered &&What);
 void targetLost(step_context &Step, connection_number Number);
+/// \brief Closes a target's connections; what they carried is taken for lost.
+/// \param OnlyInUse Those that are idle or being made stay.
+void loseConnections(step_context &Step, const std::string &Target,
+                     bool OnlyInUse);
 void superviseConnections(step_context &Step);
 
 // Settings and targets (listing.cpp).
@@ -168,6 +172,11 @@
 /// \brief Writes a log line.
 void logLine(step_context &Step, std::string_view Event,
              std::initializer_list<effects::log_field> Fields);
+/// \brief When a refused caller may try again, as the end of a refusal's text.
+[[nodiscard]] std::string retryAfter(duration Wait);
+/// \brief The part of a lease or vouch that is relied on; the rest covers the
+/// lateness of timers.
+[[nodiscard]] duration usablePart(duration Length) noexcept;
 /// \brief Age of an instant, in milliseconds, as text.
 [[nodiscard]] std::string ageText(instant Then, instant Now);
 
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -323,9 +323,7 @@
     return false;
   const duration Wait = untilNextToken(State, Request.Account, Step.Now);
   refuseWaiting(Step, Request,
-                "the account is beyond its rate; retry after " +
-                    std::to_string(static_cast<int>(toMilliseconds(Wait))) +
-                    " ms");
+                "the account is beyond its rate; " + retryAfter(Wait));
   return false;
 }
 
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -26,8 +26,6 @@
 constexpr duration LeaseLength = std::chrono::milliseconds(1600);
 /// Renewals in each lease; two may be lost.
 constexpr int RenewalsPerLease = 4;
-/// Part of the lease in which primaries are used; covers timer lateness.
-constexpr double UsablePart = 0.9;
 constexpr duration RetryPause = std::chrono::milliseconds(60);
 /// Dials that fail for this long show that a target is not reached.
 constexpr duration BlindAfter = std::chrono::milliseconds(200);
@@ -66,22 +64,6 @@
   return false;
 }
 
-/// Ends what still uses a primary that is being replaced.
-void endPrimaryUse(step_context &Step, const std::string &Primary) {
-  std::vector<connection_number> Numbers;
-  for (const auto &[Number, Connection] : Step.State.Connections)
-    if (Connection.Target == Primary &&
-        Connection.Phase != connection_phase::Dialling &&
-        Connection.Phase != connection_phase::Idle)
-      Numbers.push_back(Number);
-  for (const connection_number Number : Numbers) {
-    if (!Step.State.Connections.contains(Number))
-      continue;
-    emitClose(Step, Step.State.Connections.at(Number));
-    targetLost(Step, Number);
-  }
-}
-
 void acknowledgeClosed(step_context &Step, group_state &Group) {
   if (!Group.Record || Group.Record->Open ||
       Group.Acknowledged >= Group.Record->Generation)
@@ -89,7 +71,7 @@
   if (usesPrimary(Step.State, Group)) {
     if (Step.Now < Group.ClosedAt + ClosingSlack)
       return;
-    endPrimaryUse(Step, Group.Record->Primary);
+    loseConnections(Step, Group.Record->Primary, true);
   }
   // Another host, or one asked by an earlier incarnation, may rely on it yet.
   if (Step.Now <
@@ -312,9 +294,8 @@
   Lease.Lease = What.Lease;
   if (What.TimeToLive > duration::zero())
     Lease.TimeToLive = What.TimeToLive;
-  const auto Usable = duration(static_cast<duration::rep>(
-      static_cast<double>(Lease.TimeToLive.count()) * UsablePart));
-  Lease.ValidUntil = std::max(Lease.ValidUntil, What.SentAt + Usable);
+  Lease.ValidUntil =
+      std::max(Lease.ValidUntil, What.SentAt + usablePart(Lease.TimeToLive));
   if (!Lease.Registered.empty())
     Step.State.Electors.StoreHeardAt = What.SentAt;
   Lease.NextCall = What.SentAt + Lease.TimeToLive / RenewalsPerLease;
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -211,9 +211,7 @@
   }
   bool AllStopped = true;
   for (const auto &[Host, Peer] : Step.State.Hosts) {
-    const auto Stopped = Peer.Record.Acknowledged.find(Name);
-    if (Stopped != Peer.Record.Acknowledged.end() &&
-        Stopped->second >= Group.Record->Generation)
+    if (hasAcknowledged(Peer.Record, Name, Group.Record->Generation))
       continue;
     AllStopped = false;
     instant &Since =
--- a/src/proxy/rates.cpp
+++ b/src/proxy/rates.cpp
@@ -100,7 +100,7 @@
     return duration::zero();
   // A host that earns nothing for the account asks others again after a pause.
   return Found->second.Bucket.RatePerSecond > 0
-             ? untilOwnToken(State.Allowances, Account, Now)
+             ? untilToken(Found->second.Bucket, Now)
              : EmptyPause;
 }
 
--- a/src/proxy/records.cpp
+++ b/src/proxy/records.cpp
@@ -1,34 +1,18 @@
 /// JSON of the project's records.
 #include "records.hpp"
 
-#include <boost/json.hpp>
+#include "json_object.hpp"
 
 namespace bronzespar::proxy {
 
-namespace {
-
 namespace json = boost::json;
 
-std::optional<json::object> parseObject(std::string_view Text) {
-  boost::system::error_code Error;
-  json::value Value = json::parse({Text.data(), Text.size()}, Error);
-  if (Error || !Value.is_object())
-    return std::nullopt;
-  return std::move(Value.as_object());
+bool hasAcknowledged(const host_record &Record, const std::string &Group,
+                     std::uint64_t Generation) {
+  const auto Found = Record.Acknowledged.find(Group);
+  return Found != Record.Acknowledged.end() && Found->second >= Generation;
 }
 
-std::optional<std::uint64_t> numberOf(const json::value *Value) {
-  if (Value == nullptr)
-    return std::nullopt;
-  boost::system::error_code Error;
-  const auto Number = Value->to_number<std::uint64_t>(Error);
-  if (Error)
-    return std::nullopt;
-  return Number;
-}
-
-} // namespace
-
 std::string formatRecord(const group_record &Record) {
   return json::serialize(
       json::object{{"generation", Record.Generation},
--- a/src/proxy/records.hpp
+++ b/src/proxy/records.hpp
@@ -38,6 +38,10 @@
   std::map<std::string, std::string> Blind;
 };
 
+/// \brief Whether the host stopped using the group's primary for a generation.
+[[nodiscard]] bool hasAcknowledged(const host_record &Record,
+                                   const std::string &Group,
+                                   std::uint64_t Generation);
 [[nodiscard]] std::string formatRecord(const group_record &Record);
 [[nodiscard]] std::string formatRecord(const host_record &Record);
 [[nodiscard]] std::optional<group_record>
--- a/src/proxy/requests.cpp
+++ b/src/proxy/requests.cpp
@@ -341,11 +341,7 @@
   const bool Closed = Group != nullptr && Group->Record && !Group->Record->Open;
   return std::string(Closed ? "its primary is being replaced"
                             : "no connection became free in time") +
-         "; retry after " +
-         std::to_string(
-             std::chrono::duration_cast<std::chrono::milliseconds>(RetryHint)
-                 .count()) +
-         " ms";
+         "; " + retryAfter(RetryHint);
 }
 
 /// Ends a request whose time is up.
--- a/tests/platform/watch_tests.cpp
+++ b/tests/platform/watch_tests.cpp
@@ -23,14 +23,13 @@
   };
   boost::asio::io_context Io;
   std::vector<pending_call> Calls;
-  store_watch Watch{
-      Io,
-      [this](http_call Call, http_callback Done) {
-        Calls.push_back({std::move(Call), std::move(Done)});
-      },
-      "op/",
-      duration::zero(),
-      {[](const std::vector<store_change> &, bool) {}, [](bool) {}}};
+  store_watch Watch{Io,
+                    [this](http_call Call, http_callback Done) {
+                      Calls.push_back({std::move(Call), std::move(Done)});
+                    },
+                    "op/",
+                    duration::zero(),
+                    {[](const std::vector<store_change> &) {}, [](bool) {}}};
 
   /// Answers the first read, so that the watch waits from revision 5.
   watched_prefix() {
--- a/tests/proxy/elector_tests.cpp
+++ b/tests/proxy/elector_tests.cpp
@@ -21,13 +21,15 @@
       {"hosts/" + Name, formatRecord(Record), ++Driver.Revision, 8}});
 }
 
-/// A host that uses a primary with three electors, itself among them.
-host_driver threeElectors() {
+/// A host that uses a primary with this many electors, itself among them.
+host_driver withElectors(unsigned Count) {
   host_driver Driver;
-  Driver.Electors = {"host-1", "host-2", "host-3"};
+  Driver.Electors.clear();
+  for (unsigned Host = 1; Host <= Count; ++Host)
+    Driver.Electors.push_back("host-" + std::to_string(Host));
   Driver.becomeReady();
-  listHost(Driver, "host-2");
-  listHost(Driver, "host-3");
+  for (unsigned Host = 2; Host <= Count; ++Host)
+    listHost(Driver, "host-" + std::to_string(Host));
   return Driver;
 }
 
@@ -69,13 +71,13 @@
     "A primary is used on while most electors vouch and the store is away") {
   // deploy/days/store-lapse.toml: from 1.4 s after the store's last answer
   // nothing that needs a primary was served.
-  host_driver Driver = threeElectors();
+  host_driver Driver = withElectors(3);
   passAway(Driver, 4s, "host-3");
   CHECK(usesPrimary(Driver));
 }
 
 TEST_CASE("A host alone is no majority") {
-  host_driver Driver = threeElectors();
+  host_driver Driver = withElectors(3);
   passAway(Driver, 4s, "");
   CHECK_FALSE(usesPrimary(Driver));
 }
@@ -99,13 +101,13 @@
 }
 
 TEST_CASE("Who is no elector of the record does not count") {
-  host_driver Driver = threeElectors();
+  host_driver Driver = withElectors(3);
   passAway(Driver, 4s, "host-9");
   CHECK_FALSE(usesPrimary(Driver));
 }
 
 TEST_CASE("What an elector vouched lapses, counted from the question") {
-  host_driver Driver = threeElectors();
+  host_driver Driver = withElectors(3);
   passAway(Driver, 3s, "host-2");
   REQUIRE(usesPrimary(Driver));
   Driver.Now += VouchLength;
@@ -113,7 +115,7 @@
 }
 
 TEST_CASE("An answer to an earlier question counts for nothing") {
-  host_driver Driver = threeElectors();
+  host_driver Driver = withElectors(3);
   passAway(Driver, 1500ms, "");
   Driver.take<effects::ask_vouch>();
   Driver.wait(320ms);
@@ -126,13 +128,13 @@
 }
 
 TEST_CASE("Electors are not relied on for longer than the limit") {
-  host_driver Driver = threeElectors();
+  host_driver Driver = withElectors(3);
   passAway(Driver, AwayLimit + 1s, "host-2");
   CHECK_FALSE(usesPrimary(Driver));
 }
 
 TEST_CASE("A closed record ends the use, whoever vouched for it") {
-  host_driver Driver = threeElectors();
+  host_driver Driver = withElectors(3);
   passAway(Driver, 3s, "host-2");
   Driver.writeGroup("a", 2, false);
   CHECK_FALSE(usesPrimary(Driver));
@@ -142,7 +144,7 @@
 
 TEST_CASE(
     "An elector vouches for the generation that it knows, while it is away") {
-  host_driver Driver = threeElectors();
+  host_driver Driver = withElectors(3);
   Driver.grantLease(7);
   CHECK(askVouch(Driver, Generation).empty()); // The store answers it.
   Driver.wait(3s);
@@ -165,7 +167,7 @@
 }
 
 TEST_CASE("An elector acknowledges when what it vouched has lapsed") {
-  host_driver Driver = threeElectors();
+  host_driver Driver = withElectors(3);
   Driver.wait(3s);
   REQUIRE_FALSE(askVouch(Driver, Generation).empty());
   Driver.writeGroup("a", 2, false);
@@ -214,11 +216,7 @@
 TEST_CASE("One elector that has gone for good is replaced") {
   // pwfc-refill trouble-3: one of six had been removed, then the data centre of
   // three was cut off; its primaries were replaced after 6 s, when it was back.
-  host_driver Driver;
-  Driver.Electors = {"host-1", "host-2", "host-3", "host-4"};
-  Driver.becomeReady();
-  for (const std::string Name : {"host-2", "host-3", "host-4"})
-    listHost(Driver, Name);
+  host_driver Driver = withElectors(4);
   group_state &State = Driver.Host->Groups.at(Group);
   Driver.send(events::record_removed{"hosts/host-4"});
   CHECK_FALSE(areElectorsStale(*Driver.Host, State, Driver.Now + 6s));
@@ -228,11 +226,7 @@
 
 TEST_CASE(
     "Electors are not replaced while a closed record would wait for them") {
-  host_driver Driver;
-  Driver.Electors = {"host-1", "host-2", "host-3", "host-4"};
-  Driver.becomeReady();
-  for (const std::string Name : {"host-2", "host-3", "host-4"})
-    listHost(Driver, Name);
+  host_driver Driver = withElectors(4);
   group_state &State = Driver.Host->Groups.at(Group);
   for (const std::string Name : {"host-2", "host-3", "host-4"})
     Driver.send(events::record_removed{"hosts/" + Name});
@@ -243,7 +237,7 @@
 }
 
 TEST_CASE("Hosts that left may rely on electors until the limit") {
-  host_driver Driver = threeElectors();
+  host_driver Driver = withElectors(3);
   CHECK_FALSE(isAwayOver(*Driver.Host, Driver.Now));
   const duration Long = AwayLimit + VouchLength;
   CHECK(isAwayOver(*Driver.Host, Driver.Now + Long));
@@ -254,7 +248,7 @@
 }
 
 TEST_CASE("Hosts that a read of the list no longer has count as lost") {
-  host_driver Driver = threeElectors();
+  host_driver Driver = withElectors(3);
   Driver.wait(AwayLimit);
   Driver.writeGroup("a", 2, false);
   Driver.Host->Groups.at(Group).Promotion.HostsCall = 999;
