Order events of the store by revision, and bind a registration to its lease

The removal of an expired key that arrived after a read which listed the host's new record took the host off the coordinator's list; so did an older read that was answered last, and a change that a new watch source repeats put a removed host back. In each, the coordinator no longer waited for a host with a valid lease. Second order found on the way: when the registration reported the end of a lease while a renewal was pending, a lease was granted twice; the record was bound to the first and disappeared with it, while the host used primaries under the second.

Change: host records, removals, reads and the coordinator's key carry the store's revision, and nothing older is applied. A lost lease keeps its pending call and ignores its answer; another lease id, or the removal of the host's own record, needs a new registration and read. A watch drops repeated changes of keys that were removed. Reads of records follow all pages (one of more than 500 hosts was never complete). The host list moved to host_list.cpp.

Ruled out by reading: group records (compared by revision before), settings (by version), targets (listed as a whole from one watch).

--- a/include/bronzespar/proxy/interface.hpp
+++ b/include/bronzespar/proxy/interface.hpp
@@ -152,6 +152,7 @@
 };
 struct record_removed {
   std::string Key;
+  std::uint64_t Revision = 0; ///< Store revision of the removal.
 };
 /// \brief All records below a prefix, as of some time after the call was made.
 struct records_read {
@@ -159,6 +160,8 @@
   std::string Prefix;
   std::vector<store_record> Records;
   bool Answered = false;
+  /// Store revision when the read began; no earlier change is missing.
+  std::uint64_t Revision = 0;
 };
 struct change_ended {
   call_number Call = 0;
--- a/src/proxy/coordinator.cpp
+++ b/src/proxy/coordinator.cpp
@@ -74,6 +74,7 @@
   Role.IsHeld = true;
   Role.Holder = Step.State.Identity.Name;
   Role.FencingToken = Event.Revision;
+  Role.Revision = Event.Revision;
   Role.OrdersFrom = Step.Now + MaxOrderDelay;
   Role.NextClaimAt = Step.Now + Step.State.Lease.TimeToLive;
   logLine(Step, "duty.held", {{"token", std::to_string(Role.FencingToken)}});
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -73,9 +73,7 @@
   void operator()(events::record_changed &Event) {
     recordChanged(Step, Event.Record);
   }
-  void operator()(events::record_removed &Event) {
-    recordRemoved(Step, Event.Key);
-  }
+  void operator()(events::record_removed &Event) { recordRemoved(Step, Event); }
   void operator()(events::records_read &Event) { recordsRead(Step, Event); }
   void operator()(events::change_ended &Event) { changeEnded(Step, Event); }
   void operator()(events::lease_answered &Event) { leaseAnswered(Step, Event); }
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -108,6 +108,17 @@
 void adoptTargets(step_context &Step, std::vector<target_entry> &&Targets);
 void dropAbsentTargets(step_context &Step);
 
+// The list of hosts (host_list.cpp).
+void hostChanged(step_context &Step, const std::string &Name,
+                 const store_record &Record);
+/// \param Revision Store revision of the removal.
+void removeHost(step_context &Step, const std::string &Name,
+                std::uint64_t Revision);
+/// \brief Replaces the list by one that was read as a whole.
+/// \param Revision Store revision when the read began.
+void replaceHosts(step_context &Step, const std::vector<store_record> &Records,
+                  std::uint64_t Revision);
+
 // The host's lease, the stored records and the use of primaries
 // (primaries.cpp).
 [[nodiscard]] bool mayUsePrimary(const host &State, const std::string &Group,
@@ -115,7 +126,7 @@
 void superviseLease(step_context &Step);
 void leaseAnswered(step_context &Step, const events::lease_answered &Event);
 void recordChanged(step_context &Step, const store_record &Record);
-void recordRemoved(step_context &Step, const std::string &Key);
+void recordRemoved(step_context &Step, const events::record_removed &Event);
 void recordsRead(step_context &Step, const events::records_read &Event);
 void changeEnded(step_context &Step, const events::change_ended &Event);
 /// \brief Updates whether this host reaches a group's primary, after the target
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -8,8 +8,6 @@
 /// acknowledgement or the end of its lease.
 #include "parts.hpp"
 
-#include <bronzespar/membership.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -17,11 +15,6 @@
 
 namespace {
 
-/// In a fleet of up to this many hosts, each watches the store itself.
-constexpr std::size_t MaxDirectWatchers = 12;
-/// The others of a data centre share the watches of these. There are two, so
-/// that one failure does not leave the data centre without any.
-constexpr std::size_t WatchersPerDataCentre = 2;
 /// A shorter lease costs more calls. A longer one delays a promotion while a
 /// host is partitioned.
 constexpr duration LeaseLength = std::chrono::milliseconds(1600);
@@ -37,19 +30,21 @@
 /// Time that statements may still run at a primary whose record was closed.
 constexpr duration ClosingGracePeriod = std::chrono::milliseconds(250);
 
-/// Longer than any period in which an expired host matters.
-constexpr duration ExpiredHostRetention = std::chrono::seconds(60);
-
 std::string ownKey(const host &State) {
   return std::string(HostsPrefix) + State.Identity.Name;
 }
 
+/// Gives up the lease with the registration and the read of records under it.
+/// A call that is pending for it stays pending, since two leases that are
+/// granted at a time would be mistaken for one another.
 void loseLease(step_context &Step) {
   lease_state &Lease = Step.State.Lease;
   logLine(Step, "lease.lost", {{"lease", std::to_string(Lease.Id)}});
-  const instant Next = Lease.NextCallAt;
-  Lease = {};
-  Lease.NextCallAt = Next;
+  lease_state Lost;
+  Lost.NextCallAt = Lease.NextCallAt;
+  Lost.CallPending = Lease.CallPending;
+  Lost.PendingCallIsObsolete = Lease.CallPending;
+  Lease = Lost;
   Step.State.Coordinator.IsHeld = false;
 }
 
@@ -115,10 +110,12 @@
   Step.Out.push_back(std::move(Change));
 }
 
-void registrationStored(lease_state &Lease, instant Now) {
+void registrationStored(lease_state &Lease, std::uint64_t Revision,
+                        instant Now) {
   if (Lease.RegisteredValue.empty())
     Lease.RegisteredAt = Now;
   Lease.RegisteredValue = Lease.PendingValue;
+  Lease.RegisteredRevision = Revision;
 }
 
 void groupChanged(step_context &Step, const std::string &Name,
@@ -149,104 +146,25 @@
   acknowledgeClosed(Step, Group);
 }
 
-/// In a large fleet, few hosts of each data centre watch the store and the
-/// others share their watches, so that the load on the store does not grow with
-/// the fleet.
-std::optional<endpoint> watchSourceFor(const host &State) {
-  if (State.Hosts.size() <= MaxDirectWatchers)
-    return std::nullopt;
-  std::vector<host_id> SameDataCentre;
-  for (const auto &[Name, Peer] : State.Hosts)
-    if (Peer.Record.DataCentre == State.Identity.DataCentre &&
-        !Peer.Record.Leaving)
-      SameDataCentre.emplace_back(Name);
-  const auto Watchers =
-      rendezvousTop("reader", std::move(SameDataCentre), WatchersPerDataCentre);
-  const host_id Own(State.Identity.Name);
-  if (std::find(Watchers.begin(), Watchers.end(), Own) != Watchers.end())
-    return std::nullopt;
-  const auto Chosen = rendezvous("reader of " + Own.Value, Watchers);
-  return Chosen
-             ? std::optional(State.Hosts.at(Chosen->Value).Record.PeerEndpoint)
-             : std::nullopt;
-}
-
-/// Tells the adapters which hosts may relay calls: those of other data centres,
-/// as they are not partitioned together with this one, or else those of its
-/// own.
-void publishPeers(step_context &Step) {
-  const host_identity &Own = Step.State.Identity;
-  effects::set_store_relays OtherDataCentres;
-  effects::set_store_relays SameDataCentre;
-  for (const auto &[Name, Peer] : Step.State.Hosts) {
-    if (Peer.Record.DataCentre != Own.DataCentre)
-      OtherDataCentres.Relays.push_back(Peer.Record.PeerEndpoint);
-    else if (Name != Own.Name)
-      SameDataCentre.Relays.push_back(Peer.Record.PeerEndpoint);
-  }
-  Step.Out.push_back(OtherDataCentres.Relays.empty()
-                         ? std::move(SameDataCentre)
-                         : std::move(OtherDataCentres));
-  Step.Out.push_back(effects::set_watch_source{watchSourceFor(Step.State)});
-}
-
-/// Takes over a host's record from the store.
-void storeHost(step_context &Step, const std::string &Name,
-               const store_record &Record) {
-  auto Parsed = parseHostRecord(Record.Value);
-  if (!Parsed)
+void coordinatorChanged(coordinator_state &Role, const store_record &Record) {
+  if (Record.Revision <= Role.Revision)
     return;
-  lease_state &Lease = Step.State.Lease;
-  // A change whose answer was lost may have overwritten a later one.
-  if (Name == Step.State.Identity.Name && Lease.RegisterCall == 0 &&
-      !Lease.RegisteredValue.empty())
-    Lease.RegisteredValue = Record.Value;
-  Step.State.HostsVersion += 1;
-  Step.State.ExpiredHosts.erase(Name);
-  Step.State.Hosts[Name] = {std::move(*Parsed), Record.Lease};
+  Role.Holder = Record.Value;
+  Role.Revision = Record.Revision;
 }
 
-void hostChanged(step_context &Step, const std::string &Name,
-                 const store_record &Record) {
-  const std::size_t OldCount = Step.State.Hosts.size();
-  storeHost(Step, Name, Record);
-  if (Step.State.Hosts.size() != OldCount)
-    publishPeers(Step);
-}
-
-void removeHost(step_context &Step, const std::string &Name) {
-  host &State = Step.State;
-  const auto Removed = State.Hosts.find(Name);
-  if (Removed == State.Hosts.end())
+void coordinatorRemoved(coordinator_state &Role, std::uint64_t Revision) {
+  if (Revision <= Role.Revision)
     return;
-  std::erase_if(State.ExpiredHosts, [&](const auto &Expired) {
-    return Step.Now > Expired.second.ExpiredAt + ExpiredHostRetention;
-  });
-  if (!Removed->second.Record.Leaving)
-    State.ExpiredHosts[Name] = {Step.Now, Removed->second.Record.DataCentre};
-  State.Hosts.erase(Removed);
-  State.HostsVersion += 1;
-}
-
-/// Replaces the list of hosts by one that was read as a whole.
-void replaceHosts(step_context &Step,
-                  const std::vector<store_record> &Records) {
-  std::set<std::string> Gone;
-  for (const auto &[Name, Peer] : Step.State.Hosts)
-    Gone.insert(Name);
-  for (const store_record &Record : Records) {
-    const std::string Name = Record.Key.substr(HostsPrefix.size());
-    Gone.erase(Name);
-    storeHost(Step, Name, Record);
-  }
-  for (const std::string &Name : Gone)
-    removeHost(Step, Name);
-  publishPeers(Step);
+  Role.Holder.clear();
+  Role.Revision = Revision;
 }
 
-void coordinatorChanged(host &State, const store_record &Record) {
-  State.Coordinator.Holder = Record.Value;
-  State.Coordinator.Revision = Record.Revision;
+/// The store removes this host's own record when its lease ends.
+void ownRecordRemoved(step_context &Step, std::uint64_t Revision) {
+  const lease_state &Lease = Step.State.Lease;
+  if (!Lease.RegisteredValue.empty() && Revision > Lease.RegisteredRevision)
+    loseLease(Step);
 }
 
 } // namespace
@@ -285,6 +203,11 @@
 void leaseAnswered(step_context &Step, const events::lease_answered &Event) {
   lease_state &Lease = Step.State.Lease;
   Lease.CallPending = false;
+  if (Lease.PendingCallIsObsolete) {
+    Lease.PendingCallIsObsolete = false;
+    Lease.NextCallAt = Step.Now;
+    return;
+  }
   if (!Event.Answered) {
     Lease.NextCallAt = Step.Now + StoreRetryDelay;
     return;
@@ -295,6 +218,9 @@
     Lease.NextCallAt = Step.Now;
     return;
   }
+  // The registration and the read of records hold only under their own lease.
+  if (Lease.Id != 0 && Lease.Id != Event.Lease)
+    loseLease(Step);
   if (Lease.Id != Event.Lease)
     logLine(Step, "lease.granted",
             {{"lease", std::to_string(Event.Lease)},
@@ -316,15 +242,16 @@
   else if (Key.starts_with(HostsPrefix))
     hostChanged(Step, std::string(Key.substr(HostsPrefix.size())), Record);
   else if (Key == CoordinatorKey)
-    coordinatorChanged(Step.State, Record);
+    coordinatorChanged(Step.State.Coordinator, Record);
 }
 
-void recordRemoved(step_context &Step, const std::string &Key) {
-  if (Key.starts_with(HostsPrefix)) {
-    removeHost(Step, Key.substr(HostsPrefix.size()));
-    publishPeers(Step);
-  } else if (Key == CoordinatorKey) {
-    Step.State.Coordinator.Holder.clear();
+void recordRemoved(step_context &Step, const events::record_removed &Event) {
+  if (Event.Key.starts_with(HostsPrefix)) {
+    removeHost(Step, Event.Key.substr(HostsPrefix.size()), Event.Revision);
+    if (Event.Key == ownKey(Step.State))
+      ownRecordRemoved(Step, Event.Revision);
+  } else if (Event.Key == CoordinatorKey) {
+    coordinatorRemoved(Step.State.Coordinator, Event.Revision);
   }
 }
 
@@ -349,7 +276,7 @@
     Group.Promotion.HostsRead = Event.Answered;
     if (!Event.Answered)
       return;
-    replaceHosts(Step, Event.Records);
+    replaceHosts(Step, Event.Records, Event.Revision);
     return;
   }
 }
@@ -359,7 +286,7 @@
   if (Event.Call == Lease.RegisterCall && Event.Call != 0) {
     Lease.RegisterCall = 0;
     if (Event.Outcome == change_outcome::Done)
-      registrationStored(Lease, Step.Now);
+      registrationStored(Lease, Event.Revision, Step.Now);
     else if (Event.Outcome == change_outcome::LeaseGone)
       loseLease(Step);
     else
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -223,13 +223,16 @@
   duration TimeToLive{};
   instant NextCallAt{};
   bool CallPending = false;
+  /// The pending call concerns a lease that has ended; its answer is ignored.
+  bool PendingCallIsObsolete = false;
   /// The groups' records were read after the host was registered under this
   /// lease. A coordinator that closes a record later sees the registration and
   /// waits for this host; a record closed earlier was read as closed.
   bool GroupsRead = false;
   call_number GroupsCall = 0;
   std::string RegisteredValue; ///< Stored value of the host's record, or empty.
-  instant RegisteredAt{};      ///< First registration under this lease.
+  std::uint64_t RegisteredRevision = 0; ///< Store revision of that value.
+  instant RegisteredAt{}; ///< First registration under this lease.
   call_number RegisterCall = 0;
   std::string PendingValue; ///< Value that the pending call writes.
   instant NextRegisterAt{};
@@ -260,6 +263,13 @@
 struct listed_peer {
   host_record Record;
   std::uint64_t Lease = 0;
+  std::uint64_t Revision = 0; ///< Store revision of the record.
+};
+
+/// \brief Removal of a host's record.
+struct host_removal {
+  std::uint64_t Revision = 0; ///< Store revision of the removal.
+  instant SeenAt{};
 };
 
 /// \brief A host whose record was removed although it was not stopping.
@@ -277,7 +287,14 @@
   std::map<connection_number, target_connection> Connections;
   std::map<std::string, target_view> Targets; ///< By target id.
   std::map<std::string, group_state> Groups;
-  std::map<std::string, listed_peer> Hosts; ///< By name, including this host.
+  /// By name, including this host. Changes come from several sources, of which
+  /// one may lag, so a record only replaces one with a lower revision.
+  std::map<std::string, listed_peer> Hosts;
+  /// Removals newer than HostsReadRevision, by name: an older record does not
+  /// list the host again.
+  std::map<std::string, host_removal> HostRemovals;
+  /// Highest revision at which Hosts was read as a whole.
+  std::uint64_t HostsReadRevision = 0;
   std::map<std::string, expired_host> ExpiredHosts;
   waiting_queue Waiting;
   std::map<forward_origin, session_number> ForwardSessions;
--- /dev/null
+++ b/tests/platform/store_client_tests.cpp
@@ -0,0 +1,93 @@
+/// Tests of the calls to the store.
+#include <platform/store_client.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <utility>
+#include <vector>
+
+namespace {
+
+using namespace bronzespar;
+using namespace bronzespar::platform;
+
+constexpr unsigned StatusOk = 200;
+
+/// A client whose changes and reads of records the test answers.
+struct client_fixture {
+  struct pending_call {
+    http_call Call;
+    http_callback Done;
+  };
+  boost::asio::io_context Io;
+  std::vector<pending_call> Calls;
+  std::vector<proxy::events::records_read> Reads;
+  store_client Client{
+      Io, channels(),
+      [this](proxy::event Event) {
+        if (auto *Read = std::get_if<proxy::events::records_read>(&Event))
+          Reads.push_back(std::move(*Read));
+      },
+      [](const std::string &, const std::string &) {},
+      [] { return instant(1000s); }};
+
+  platform_channels channels() {
+    const auto Ignore = [](http_call, http_callback) {};
+    platform_channels Channels;
+    Channels.Lease = Ignore;
+    Channels.Promotion = Ignore;
+    Channels.Operator = Ignore;
+    Channels.Targets = Ignore;
+    Channels.Records = Ignore;
+    Channels.Change = [this](http_call Call, http_callback Done) {
+      Calls.push_back({std::move(Call), std::move(Done)});
+    };
+    return Channels;
+  }
+
+  void answer(http_answer Answer) {
+    REQUIRE_FALSE(Calls.empty());
+    const pending_call First = std::move(Calls.front());
+    Calls.erase(Calls.begin());
+    First.Done(std::move(Answer));
+  }
+};
+
+constexpr const char *FirstPage =
+    R"({"items":[{"Key":"bronzespar/hosts/a","Value":"Mg==","Revision":3,"Lease":1}],
+       "MorePages":true,"CurrentRev":7})";
+constexpr const char *LastPage =
+    R"({"items":[{"Key":"bronzespar/hosts/b","Value":"Mg==","Revision":9,"Lease":2}],
+       "MorePages":false,"CurrentRev":11})";
+
+} // namespace
+
+TEST_CASE("A read of records that has several pages is complete") {
+  // The store returns about 500 items at a time. With more hosts than that, no
+  // read ended, and no primary could be replaced.
+  client_fixture Fixture;
+  Fixture.Client.carryOut(proxy::effects::read_records{5, "hosts/"});
+  Fixture.answer({StatusOk, FirstPage});
+  CHECK(Fixture.Reads.empty());
+  REQUIRE(Fixture.Calls.size() == 1);
+  CHECK(Fixture.Calls.front().Call.Path.find("after=bronzespar/hosts/a") !=
+        std::string::npos);
+  Fixture.answer({StatusOk, LastPage});
+  REQUIRE(Fixture.Reads.size() == 1);
+  const auto &Read = Fixture.Reads.front();
+  CHECK(Read.Answered);
+  CHECK(Read.Call == 5);
+  CHECK(Read.Revision == 7);
+  REQUIRE(Read.Records.size() == 2);
+  CHECK(Read.Records.back().Key == "hosts/b");
+}
+
+TEST_CASE("A read of records whose second page fails is not answered") {
+  client_fixture Fixture;
+  Fixture.Client.carryOut(proxy::effects::read_records{5, "hosts/"});
+  Fixture.answer({StatusOk, FirstPage});
+  Fixture.answer({});
+  REQUIRE(Fixture.Reads.size() == 1);
+  CHECK_FALSE(Fixture.Reads.front().Answered);
+  CHECK(Fixture.Reads.front().Records.empty());
+}
--- a/tests/platform/watch_tests.cpp
+++ b/tests/platform/watch_tests.cpp
@@ -23,13 +23,18 @@
   };
   boost::asio::io_context Io;
   std::vector<pending_call> Calls;
+  std::vector<store_change> Reported;
   store_watch Watch{Io,
                     [this](http_call Call, http_callback Done) {
                       Calls.push_back({std::move(Call), std::move(Done)});
                     },
                     "op/",
                     duration::zero(),
-                    {[](const std::vector<store_change> &) {}, [](bool) {}}};
+                    {[this](const std::vector<store_change> &Changes) {
+                       Reported.insert(Reported.end(), Changes.begin(),
+                                       Changes.end());
+                     },
+                     [](bool) {}}};
 
   /// Answers the first read, so that the watch waits from revision 5.
   watch_fixture() {
@@ -156,3 +161,39 @@
   Prefix.answer({});
   CHECK_FALSE(Answer->has_value());
 }
+
+TEST_CASE("A change that a lagging watch source repeats is not reported") {
+  // The key was written at revision 6 and removed at 7. A source that lags
+  // reports the write again after its consumer has seen the removal.
+  watch_fixture Prefix;
+  watch_page First;
+  First.Changes.push_back({{"op/key", "1", 6, 0}, false});
+  First.Changes.push_back({{"op/key", {}, 7, 0}, true});
+  First.Revision = 7;
+  Prefix.answer({StatusOk, formatWatch(First)});
+  Prefix.runFor(5ms);
+  Prefix.Reported.clear();
+  watch_page Repeated;
+  Repeated.Changes.push_back({{"op/key", "1", 6, 0}, false});
+  Repeated.Changes.push_back({{"op/other", "2", 8, 0}, false});
+  Repeated.Revision = 8;
+  Prefix.answer({StatusOk, formatWatch(Repeated)});
+  REQUIRE(Prefix.Reported.size() == 1);
+  CHECK(Prefix.Reported.front().Record.Key == "op/other");
+}
+
+TEST_CASE("A key that a read lacks is removed as of the read's revision") {
+  watch_fixture Prefix;
+  watch_page First;
+  First.Changes.push_back({{"op/key", "1", 6, 0}, false});
+  First.Revision = 6;
+  Prefix.answer({StatusOk, formatWatch(First)});
+  Prefix.runFor(5ms);
+  Prefix.Reported.clear();
+  Prefix.answer({410, {}});
+  Prefix.runFor(5ms);
+  Prefix.answer({StatusOk, R"({"items":[],"MorePages":false,"CurrentRev":9})"});
+  REQUIRE(Prefix.Reported.size() == 1);
+  CHECK(Prefix.Reported.front().Removed);
+  CHECK(Prefix.Reported.front().Record.Revision == 9);
+}
--- /dev/null
+++ b/tests/proxy/coordinator_driver.hpp
@@ -0,0 +1,44 @@
+/// A host that is the coordinator, for tests of promotions.
+#pragma once
+
+#include "host_driver.hpp"
+
+namespace session_test {
+
+/// Makes the host the coordinator and lets it give orders.
+inline void becomeCoordinator(host_driver &Driver) {
+  Driver.becomeReady();
+  host_record Own;
+  Own.PeerEndpoint = {"10.0.0.1", 7560};
+  Driver.send(events::record_changed{
+      {"hosts/host-1", formatRecord(Own), ++Driver.Revision, 7}});
+  Driver.removeRecord(std::string(CoordinatorKey));
+  Driver.advanceTime(700ms);
+  Driver.grantLease(7);
+  for (const auto &Change : Driver.takeEffects<effects::change_records>())
+    if (Change.Writes.front().Key == CoordinatorKey)
+      Driver.send(events::change_ended{Change.Call, change_outcome::Done,
+                                       ++Driver.Revision});
+  Driver.advanceTime(800ms);
+  Driver.grantLease(7);
+  Driver.Effects.clear();
+}
+
+inline void reportUnreachable(host_driver &Driver, const std::string &Host,
+                              const std::string &Primary) {
+  host_record Record;
+  Record.PeerEndpoint = {"10.0.0.2", 7560};
+  Record.UnreachablePrimaries[Group] = Primary;
+  Driver.send(events::record_changed{
+      {"hosts/" + Host, formatRecord(Record), ++Driver.Revision, 8}});
+}
+
+/// Answers the changes of groups' records that the coordinator has requested.
+inline void storeGroupRecords(host_driver &Driver) {
+  for (const auto &Change : Driver.takeEffects<effects::change_records>())
+    if (Change.Writes.front().Key.starts_with(GroupsPrefix))
+      Driver.send(events::change_ended{Change.Call, change_outcome::Done,
+                                       ++Driver.Revision});
+}
+
+} // namespace session_test
--- a/tests/proxy/elector_tests.cpp
+++ b/tests/proxy/elector_tests.cpp
@@ -209,7 +209,7 @@
     listHost(Driver, Name);
   CHECK_FALSE(IsStaleAfter(31s));
   Driver.advanceTime(30s);
-  Driver.send(events::record_removed{"hosts/host-4"});
+  Driver.removeRecord("hosts/host-4");
   CHECK_FALSE(IsStaleAfter(4s));
   CHECK_FALSE(IsStaleAfter(6s));
   listHost(Driver, "host-4");
@@ -222,7 +222,7 @@
   // after 6 s, when it was back.
   host_driver Driver = withElectors(4);
   group_state &State = Driver.Host->Groups.at(Group);
-  Driver.send(events::record_removed{"hosts/host-4"});
+  Driver.removeRecord("hosts/host-4");
   CHECK_FALSE(areElectorsStale(*Driver.Host, State, Driver.Now + 6s));
   CHECK_FALSE(areElectorsStale(*Driver.Host, State, Driver.Now + 12s));
   CHECK(areElectorsStale(*Driver.Host, State, Driver.Now + 15s));
@@ -233,7 +233,7 @@
   host_driver Driver = withElectors(4);
   group_state &State = Driver.Host->Groups.at(Group);
   for (const std::string Name : {"host-2", "host-3", "host-4"})
-    Driver.send(events::record_removed{"hosts/" + Name});
+    Driver.removeRecord("hosts/" + Name);
   CHECK_FALSE(areElectorsStale(*Driver.Host, State, Driver.Now + 6s));
   CHECK_FALSE(areElectorsStale(*Driver.Host, State, Driver.Now + 10s));
   CHECK_FALSE(areElectorsStale(*Driver.Host, State, Driver.Now + 12s));
@@ -246,7 +246,7 @@
   const duration Limit = MaxUseWithoutStore + VoteLifetime;
   CHECK(haveExpiredHostsStopped(*Driver.Host, Driver.Now + Limit));
   Driver.advanceTime(5s);
-  Driver.send(events::record_removed{"hosts/host-3"});
+  Driver.removeRecord("hosts/host-3");
   CHECK_FALSE(haveExpiredHostsStopped(*Driver.Host, Driver.Now + Limit - 1s));
   CHECK(haveExpiredHostsStopped(*Driver.Host, Driver.Now + Limit));
 }
@@ -256,7 +256,8 @@
   Driver.advanceTime(MaxUseWithoutStore);
   Driver.writeGroupRecord("a", 2, false);
   Driver.Host->Groups.at(Group).Promotion.HostsCall = 999;
-  Driver.send(events::records_read{999, std::string(HostsPrefix), {}, true});
+  Driver.send(events::records_read{
+      999, std::string(HostsPrefix), {}, true, ++Driver.Revision});
   CHECK(Driver.Host->ExpiredHosts.contains("host-3"));
 }
 
--- a/tests/proxy/host_driver.hpp
+++ b/tests/proxy/host_driver.hpp
@@ -102,6 +102,10 @@
          ++Revision, 0}});
   }
 
+  void removeRecord(std::string Key) {
+    send(events::record_removed{std::move(Key), ++Revision});
+  }
+
   void grantLease(std::uint64_t Lease) {
     send(events::lease_answered{Lease, 2000ms, Now, true});
   }
--- a/tests/proxy/promotion_tests.cpp
+++ b/tests/proxy/promotion_tests.cpp
@@ -1,38 +1,10 @@
 /// When the coordinator starts a promotion, and how it waits for hosts.
-#include "host_driver.hpp"
+#include "coordinator_driver.hpp"
 
 using namespace session_test;
 
 namespace {
 
-/// Makes the host the coordinator and lets it give orders.
-void becomeCoordinator(host_driver &Driver) {
-  Driver.becomeReady();
-  host_record Own;
-  Own.PeerEndpoint = {"10.0.0.1", 7560};
-  Driver.send(events::record_changed{
-      {"hosts/host-1", formatRecord(Own), ++Driver.Revision, 7}});
-  Driver.send(events::record_removed{std::string(CoordinatorKey)});
-  Driver.advanceTime(700ms);
-  Driver.grantLease(7);
-  for (const auto &Change : Driver.takeEffects<effects::change_records>())
-    if (Change.Writes.front().Key == CoordinatorKey)
-      Driver.send(events::change_ended{Change.Call, change_outcome::Done,
-                                       ++Driver.Revision});
-  Driver.advanceTime(800ms);
-  Driver.grantLease(7);
-  Driver.Effects.clear();
-}
-
-void reportUnreachable(host_driver &Driver, const std::string &Host,
-                       const std::string &Primary) {
-  host_record Record;
-  Record.PeerEndpoint = {"10.0.0.2", 7560};
-  Record.UnreachablePrimaries[Group] = Primary;
-  Driver.send(events::record_changed{
-      {"hosts/" + Host, formatRecord(Record), ++Driver.Revision, 8}});
-}
-
 bool closesRecord(host_driver &Driver) {
   for (const auto &Change : Driver.takeEffects<effects::change_records>())
     for (const auto &Write : Change.Writes)
@@ -86,7 +58,7 @@
     Driver.send(events::record_changed{
         {"hosts/" + Name, formatRecord(Reaching), ++Driver.Revision, 8}});
   for (const std::string Name : {"host-2", "host-3", "host-4"})
-    Driver.send(events::record_removed{"hosts/" + Name});
+    Driver.removeRecord("hosts/" + Name);
   reportUnreachable(Driver, "host-1", "a");
   Driver.advanceTime(40ms);
   CHECK_FALSE(beginsPromotion(Driver));
@@ -99,10 +71,7 @@
   becomeCoordinator(Driver);
   reportUnreachable(Driver, "host-2", "a");
   Driver.advanceTime(40ms);
-  for (const auto &Change : Driver.takeEffects<effects::change_records>())
-    if (Change.Writes.front().Key.starts_with(GroupsPrefix))
-      Driver.send(events::change_ended{Change.Call, change_outcome::Done,
-                                       ++Driver.Revision});
+  storeGroupRecords(Driver);
   for (const auto &Read : Driver.takeEffects<effects::read_records>())
     Driver.send(events::records_read{Read.Call, Read.Prefix, {}, true});
   for (int TickInterval = 0; TickInterval < 10; ++TickInterval) {
--- a/tests/proxy/rates_tests.cpp
+++ b/tests/proxy/rates_tests.cpp
@@ -113,8 +113,8 @@
   void expireAllLeases() {
     Records.clear();
     for (std::size_t Host = 0; Host < Hosts.size(); ++Host) {
-      notifyAll(
-          events::record_removed{std::string(HostsPrefix) + nameOf(Host)});
+      notifyAll(events::record_removed{std::string(HostsPrefix) + nameOf(Host),
+                                       ++Revision});
       Delayed.push_back({Now + static_cast<int>(Host) * 50ms, Host,
                          events::lease_answered{0, {}, Now, true}});
     }
