Let stand-ins replace a silent connection owner, and witnesses find a lost primary

Cause: in a fleet whose hosts x accounts exceed a target's connections, one host owns them. The evidence for a lost primary was this very herd of connections.

Change: a target has an owner and two stand-ins, which hosts use in this order. Owners are spread so that none in a data centre owns many more targets than another. An owner tells forwarding hosts every 70 ms that it still holds their statements, so that a slow target is not taken for a lost owner. Calls that the store refuses are repeated after a delay that doubles. A dial counts against a target's slots. A target in another data centre is charged a tenth of the route's latency goal.

--- a/include/bronzespar/proxy/interface.hpp
+++ b/include/bronzespar/proxy/interface.hpp
@@ -192,6 +192,10 @@
   std::string Link;
   connection_number Ticket = 0;
 };
+/// \brief A connection owner works but has not answered all statements yet.
+struct forward_pending {
+  std::string Link;
+};
 /// \brief A connection with another host was lost; its forwarded sessions end.
 struct peer_lost {
   std::string Link; ///< "address:port" if this host had dialled.
@@ -228,9 +232,9 @@
     events::isolation_changed, events::record_changed, events::record_removed,
     events::records_read, events::change_ended, events::lease_answered,
     events::promotion_answered, events::forward_requested,
-    events::forward_ended, events::peer_lost, events::vote_requested,
-    events::vote_received, events::tokens_requested, events::tokens_granted,
-    events::stop_requested, events::tick>;
+    events::forward_ended, events::forward_pending, events::peer_lost,
+    events::vote_requested, events::vote_received, events::tokens_requested,
+    events::tokens_granted, events::stop_requested, events::tick>;
 
 namespace effects {
 
@@ -321,6 +325,10 @@
   connection_number Ticket = 0;
   answer Answer;
 };
+/// \brief Tell a forwarding host that its statements are still being worked on.
+struct report_pending {
+  std::string Link;
+};
 
 struct request_vote {
   endpoint Elector;
@@ -381,10 +389,10 @@
     effects::read_records, effects::grant_lease, effects::renew_lease,
     effects::revoke_lease, effects::order_promotion, effects::forward,
     effects::end_forward, effects::drop_peer, effects::answer_forward,
-    effects::request_vote, effects::send_vote, effects::request_tokens,
-    effects::grant_tokens, effects::set_store_relays, effects::set_watch_source,
-    effects::set_ready, effects::write_log, effects::record_outcome,
-    effects::stop_process>;
+    effects::report_pending, effects::request_vote, effects::send_vote,
+    effects::request_tokens, effects::grant_tokens, effects::set_store_relays,
+    effects::set_watch_source, effects::set_ready, effects::write_log,
+    effects::record_outcome, effects::stop_process>;
 using effect_list = std::vector<effect>;
 
 } // namespace bronzespar::proxy
--- a/include/bronzespar/proxy/placement.hpp
+++ b/include/bronzespar/proxy/placement.hpp
@@ -17,7 +17,8 @@
   std::size_t Target = 0; ///< Index in the caller's list of candidates.
   double LatencyMs = 0;   ///< Smoothed latency of statements there.
   unsigned Running = 0;   ///< Statements of this host in progress there.
-  bool SameDataCentre = true;
+  /// Charge for a target in another data centre, see crossingCostMs.
+  double CrossingCostMs = 0;
   bool RecentlyRefused = false; ///< It refused a statement a moment ago.
   /// The primary, for a read that a replica can serve.
   bool AvoidablePrimary = false;
@@ -33,6 +34,12 @@
   bool IsForwarded = false;     ///< Sent to the connection owner.
 };
 
+/// \brief Charge for traffic to another data centre, as a latency. It grows
+/// with the latency that the route's callers accept, so that a target at home
+/// serves a statement as long as it does so well within the goal. \param
+/// LatencyGoal Of the route.
+[[nodiscard]] double crossingCostMs(duration LatencyGoal) noexcept;
+
 /// \brief Expected milliseconds until an answer, or nothing when the option has
 /// no connection and none can be dialled.
 [[nodiscard]] std::optional<double>
--- a/src/proxy/connections.cpp
+++ b/src/proxy/connections.cpp
@@ -34,6 +34,8 @@
 constexpr duration AbandonedAnswerTimeout = std::chrono::seconds(2);
 /// Idle timeout of connections to a target that another host owns.
 constexpr duration NonOwnerIdleTimeout = std::chrono::milliseconds(200);
+/// Idle timeout while this host stands in for a target's owner.
+constexpr duration StandInIdleTimeout = std::chrono::milliseconds(2000);
 /// Idle timeout of other connections, so that other hosts can connect.
 constexpr duration IdleTimeout = std::chrono::seconds(15);
 
@@ -41,7 +43,16 @@
   return findIn(Step.State.Targets, Connection.Target);
 }
 
+/// Ends the count of a connection as dialling, if it is.
+void leaveDialling(step_context &Step, const target_connection &Connection) {
+  target_view *Target = targetOf(Step, Connection);
+  if (Target != nullptr && Target->Dialling > 0 &&
+      Connection.Phase == connection_phase::Dialling)
+    Target->Dialling -= 1;
+}
+
 void markIdle(step_context &Step, target_connection &Connection) {
+  leaveDialling(Step, Connection);
   Connection.Phase = connection_phase::Idle;
   Connection.Session = 0;
   Connection.IdleSince = Step.Now;
@@ -252,14 +263,14 @@
 }
 
 /// Whether an idle connection is closed now.
-bool shouldCloseIdle(const host &State, target_view *Target,
+bool shouldCloseIdle(host &State, const target_view *Target,
                      const target_connection &Connection, instant Now) {
   if (Target == nullptr || !Target->Listed || Target->Entry.Draining)
     return true;
-  const bool OwnedElsewhere = areConnectionsOwned(State, Connection.Group) &&
-                              !ownsTarget(State, *Target);
-  if (OwnedElsewhere)
-    return Now > Connection.IdleSince + NonOwnerIdleTimeout;
+  const auto Rank = ownerRank(State, Connection.Target);
+  if (areConnectionsOwned(State, Connection.Group) && Rank != std::size_t{0})
+    return Now > Connection.IdleSince +
+                     (Rank ? StandInIdleTimeout : NonOwnerIdleTimeout);
   const bool ConnectionsFull = Now < Target->ConnectionLimitUntil;
   return Now > Connection.IdleSince +
                    (ConnectionsFull ? ConnectionsFullIdleTimeout : IdleTimeout);
@@ -294,6 +305,7 @@
   target_connection *Connection = findIn(Step.State.Connections, Number);
   if (Connection == nullptr)
     return;
+  leaveDialling(Step, *Connection);
   if (target_view *Target = targetOf(Step, *Connection)) {
     if (Target->Connections > 0 && !Connection->Owner)
       Target->Connections -= 1;
@@ -321,6 +333,7 @@
   Connection.DialledAt = Step.Now;
   Connection.SentAt = Step.Now;
   Target.Connections += 1;
+  Target.Dialling += 1;
   Step.Out.push_back(
       effects::open_target{Connection.Number, Target.Entry.Endpoint,
                            Target.Entry.Group, Account, Target.Entry.Id});
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -21,6 +21,8 @@
 }
 
 void runPeriodicTasks(step_context &Step) {
+  reportPendingForwards(Step);
+  superviseWitnesses(Step);
   superviseLease(Step);
   superviseElectors(Step);
   superviseCoordinatorRole(Step);
@@ -86,6 +88,9 @@
   void operator()(events::forward_ended &Event) {
     forwardEnded(Step, {Event.Link, Event.Ticket});
   }
+  void operator()(events::forward_pending &Event) {
+    forwardPending(Step, Event.Link);
+  }
   void operator()(events::peer_lost &Event) { peerLost(Step, Event.Link); }
   void operator()(events::vote_requested &Event) { voteRequested(Step, Event); }
   void operator()(events::vote_received &Event) {
--- a/src/proxy/host_list.cpp
+++ b/src/proxy/host_list.cpp
@@ -84,6 +84,13 @@
     Lease.RegisteredValue = Record.Value;
 }
 
+/// Whether owners and rates depend on the difference between two records of a
+/// host. Acknowledgements and reports change often and do not matter for them.
+bool isMoved(const host_record &Old, const host_record &New) {
+  return Old.PeerEndpoint != New.PeerEndpoint ||
+         Old.DataCentre != New.DataCentre || Old.Leaving != New.Leaving;
+}
+
 /// Takes over a host's record from the store, unless a newer change is known.
 void storeHost(step_context &Step, const std::string &Name,
                const store_record &Record) {
@@ -97,9 +104,16 @@
     return;
   if (Name == State.Identity.Name)
     compareOwnRecord(State.Lease, Record);
-  State.HostsVersion += 1;
+  const auto Known = State.Hosts.find(Name);
+  if (Known == State.Hosts.end() || isMoved(Known->second.Record, *Parsed))
+    State.HostsVersion += 1;
   State.ExpiredHosts.erase(Name);
   State.HostRemovals.erase(Name);
+  if (Parsed->UnreachablePrimaries.empty() &&
+      Parsed->SuspectedPrimaries.empty())
+    State.ReportingHosts.erase(Name);
+  else
+    State.ReportingHosts.insert(Name);
   State.Hosts[Name] = {std::move(*Parsed), Record.Lease, Record.Revision};
 }
 
@@ -125,6 +139,7 @@
   if (!Removed->second.Record.Leaving)
     State.ExpiredHosts[Name] = {Step.Now, Removed->second.Record.DataCentre};
   State.Hosts.erase(Removed);
+  State.ReportingHosts.erase(Name);
   State.HostsVersion += 1;
 }
 
--- a/src/proxy/listing.cpp
+++ b/src/proxy/listing.cpp
@@ -31,6 +31,8 @@
                        Target.Entry.ClaimsPrimary != Entry.ClaimsPrimary;
   if (Changed)
     logTarget(Step, "target.listed", Entry);
+  if (IsNew || Target.Entry.DataCentre != Entry.DataCentre)
+    Step.State.TargetsVersion += 1;
   if (Entry.Draining && (IsNew || !Target.Entry.Draining))
     Target.DrainingSince = Step.Now;
   Target.Listed = true;
@@ -93,9 +95,11 @@
     Target.Listed = false;
     logTarget(Step, "target.gone", Target.Entry);
   }
-  std::erase_if(State.Targets, [](const auto &Entry) {
+  const auto Erased = std::erase_if(State.Targets, [](const auto &Entry) {
     return !Entry.second.Listed && Entry.second.Connections == 0;
   });
+  if (Erased > 0)
+    State.TargetsVersion += 1;
 }
 
 } // namespace bronzespar::proxy
--- a/src/proxy/owners.cpp
+++ b/src/proxy/owners.cpp
@@ -1,8 +1,11 @@
-/// Connection owners of targets. When hosts times client accounts exceed a
+/// Connection owners of targets, which concentrate the load of a fleet on few
+/// connections. When hosts times client accounts exceed a
 /// target's connections, each statement would need a new connection, and
 /// connecting alone can fill the target's slots. Therefore one host in the
 /// target's data centre owns its connections and keeps a few open for all
-/// hosts; the others forward their statements to it.
+/// hosts; the others forward their statements to it. While it does not answer,
+/// the next one in a fixed order stands in for it: if each host connected by
+/// itself instead, the connections of a large fleet would fill the target.
 #include "parts.hpp"
 
 #include <bronzespar/membership.hpp>
@@ -22,25 +25,91 @@
 /// The connection to an unresponsive owner is treated as lost after this time:
 /// a device between the hosts may have dropped its state.
 constexpr duration OwnerDisconnectTimeout = std::chrono::milliseconds(700);
+/// An owner tells a forwarding host after this time that it works, so that a
+/// slow target is not mistaken for a lost owner. Two such messages may be late.
+constexpr duration PendingReportInterval = std::chrono::milliseconds(70);
+/// The owner of a target and its stand-ins.
+constexpr std::size_t MaxOwners = 3;
 
-const std::string &ownerName(const host &State, target_view &Target) {
-  if (Target.OwnerVersion == State.HostsVersion && !Target.OwnerName.empty())
-    return Target.OwnerName;
-  std::vector<host_id> SameDataCentre;
+/// Hosts that may own connections, by data centre.
+using candidates_by_data_centre = std::map<std::string, std::vector<host_id>>;
+
+candidates_by_data_centre ownerCandidates(const host &State) {
+  candidates_by_data_centre Candidates;
+  for (const auto &[Name, Peer] : State.Hosts)
+    if (!Peer.Record.Leaving)
+      Candidates[Peer.Record.DataCentre].emplace_back(Name);
+  return Candidates;
+}
+
+/// Orders the candidates for a target by rendezvous hashing and moves a host
+/// that owns fewer than MaxTargets to the front.
+std::vector<std::string> rankOwners(const std::string &Target,
+                                    std::vector<host_id> Candidates,
+                                    std::map<std::string, std::size_t> &Owned,
+                                    std::size_t MaxTargets) {
+  const std::size_t Count = Candidates.size();
+  std::vector<std::string> Names;
+  Names.reserve(Count);
+  for (const host_id &Host :
+       rendezvousTop("connections/" + Target, std::move(Candidates), Count))
+    Names.push_back(Host.Value);
+  const auto First =
+      std::find_if(Names.begin(), Names.end(), [&](const std::string &Name) {
+        return Owned[Name] < MaxTargets;
+      });
+  if (First != Names.end())
+    std::rotate(Names.begin(), First, std::next(First));
+  if (Names.size() > MaxOwners)
+    Names.resize(MaxOwners);
+  if (!Names.empty())
+    Owned[Names.front()] += 1;
+  return Names;
+}
+
+/// Assigns owners to the targets of one data centre, so that none owns many
+/// more than the others.
+void assignOwners(owner_table &Table, const std::vector<std::string> &Targets,
+                  const std::vector<host_id> &Candidates) {
+  if (Candidates.empty())
+    return;
+  const std::size_t MaxTargets =
+      (Targets.size() + Candidates.size() - 1) / Candidates.size();
+  std::map<std::string, std::size_t> Owned;
+  for (const std::string &Target : Targets)
+    Table.Owners[Target] = rankOwners(Target, Candidates, Owned, MaxTargets);
+}
+
+void updateOwners(host &State) {
+  owner_table &Table = State.OwnerTable;
+  Table.HostsVersion = State.HostsVersion;
+  Table.TargetsVersion = State.TargetsVersion;
+  Table.Owners.clear();
+  candidates_by_data_centre Candidates = ownerCandidates(State);
   std::vector<host_id> AllHosts;
-  for (const auto &[Name, Peer] : State.Hosts) {
-    if (Peer.Record.Leaving)
-      continue;
-    AllHosts.emplace_back(Name);
-    if (Peer.Record.DataCentre == Target.Entry.DataCentre)
-      SameDataCentre.emplace_back(Name);
+  for (const auto &[DataCentre, Hosts] : Candidates)
+    AllHosts.insert(AllHosts.end(), Hosts.begin(), Hosts.end());
+  std::map<std::string, std::vector<std::string>> Targets;
+  for (const auto &[Id, Target] : State.Targets)
+    Targets[Target.Entry.DataCentre].push_back(Id);
+  for (const auto &[DataCentre, Ids] : Targets) {
+    const auto Local = Candidates.find(DataCentre);
+    assignOwners(Table, Ids,
+                 Local == Candidates.end() ? AllHosts : Local->second);
   }
-  const auto Owner =
-      rendezvous("connections/" + Target.Entry.Id,
-                 SameDataCentre.empty() ? AllHosts : SameDataCentre);
-  Target.OwnerName = Owner ? Owner->Value : State.Identity.Name;
-  Target.OwnerVersion = State.HostsVersion;
-  return Target.OwnerName;
+}
+
+/// Connection owner of a target and its stand-ins, best first.
+const std::vector<std::string> &ownersOf(host &State, const std::string &Id) {
+  if (State.OwnerTable.HostsVersion != State.HostsVersion ||
+      State.OwnerTable.TargetsVersion != State.TargetsVersion)
+    updateOwners(State);
+  return State.OwnerTable.Owners[Id];
+}
+
+bool isUnresponsive(const host &State, const endpoint &Owner, instant Now) {
+  const auto Found = State.UnresponsiveOwners.find(Owner);
+  return Found != State.UnresponsiveOwners.end() && Now < Found->second;
 }
 
 forwarded_statement makeForwardedStatement(step_context &Step,
@@ -117,6 +186,18 @@
 
 } // namespace
 
+namespace {
+
+/// Whether every host may hold a connection to a target of the group besides
+/// those of the owner. Otherwise hosts that miss the owner would together fill
+/// the target with new connections.
+bool fitsDirectConnections(const host &State, const std::string &Group) {
+  return State.Hosts.size() * 2 <=
+         State.Settings->Groups.at(Group).MaxConnections;
+}
+
+} // namespace
+
 bool areConnectionsOwned(const host &State, const std::string &Group) {
   if (!State.Settings || State.Hosts.size() < 2)
     return false;
@@ -126,24 +207,28 @@
              Limits->second.MaxConnections;
 }
 
-bool ownsTarget(const host &State, target_view &Target) {
-  return ownerName(State, Target) == State.Identity.Name;
+std::optional<std::size_t> ownerRank(host &State, const std::string &Target) {
+  const auto &Owners = ownersOf(State, Target);
+  const auto Own = std::find(Owners.begin(), Owners.end(), State.Identity.Name);
+  if (Own == Owners.end())
+    return std::nullopt;
+  return static_cast<std::size_t>(std::distance(Owners.begin(), Own));
 }
 
-std::optional<endpoint> remoteOwner(const host &State, target_view &Target,
-                                    instant Now) {
-  if (!areConnectionsOwned(State, Target.Entry.Group) ||
-      ownsTarget(State, Target))
-    return std::nullopt;
-  const auto Peer = State.Hosts.find(Target.OwnerName);
-  if (Peer == State.Hosts.end())
-    return std::nullopt;
-  const auto Unresponsive =
-      State.UnresponsiveOwners.find(Peer->second.Record.PeerEndpoint);
-  if (Unresponsive != State.UnresponsiveOwners.end() &&
-      Now < Unresponsive->second)
-    return std::nullopt;
-  return Peer->second.Record.PeerEndpoint;
+owner_choice chooseOwner(host &State, const target_view &Target, instant Now) {
+  if (!areConnectionsOwned(State, Target.Entry.Group))
+    return {owner_kind::Self, {}};
+  for (const std::string &Name : ownersOf(State, Target.Entry.Id)) {
+    if (Name == State.Identity.Name)
+      return {owner_kind::Self, {}};
+    const listed_peer *Peer = findIn(State.Hosts, Name);
+    if (Peer != nullptr &&
+        !isUnresponsive(State, Peer->Record.PeerEndpoint, Now))
+      return {owner_kind::Peer, Peer->Record.PeerEndpoint};
+  }
+  return {fitsDirectConnections(State, Target.Entry.Group) ? owner_kind::Self
+                                                           : owner_kind::None,
+          {}};
 }
 
 void forwardRequest(step_context &Step, target_view &Target,
@@ -228,12 +313,33 @@
     closeSession(Step, session_number{Known->second});
 }
 
+void forwardPending(step_context &Step, const std::string &Link) {
+  if (const auto Owner = parseEndpoint(Link))
+    Step.State.OwnersAnsweredAt[*Owner] = Step.Now;
+}
+
+void reportPendingForwards(step_context &Step) {
+  for (const auto &[Origin, Number] : Step.State.ForwardSessions) {
+    const target_request *Request =
+        findIn(Step.State.Requests, Step.State.Sessions.at(Number).Request);
+    if (Request == nullptr)
+      continue;
+    instant &AnsweredAt = Step.State.LinksAnsweredAt[Origin.Link];
+    const instant Since = std::max(AnsweredAt, Request->ArrivedAt);
+    if (Step.Now < Since + PendingReportInterval)
+      continue;
+    AnsweredAt = Step.Now;
+    Step.Out.push_back(effects::report_pending{Origin.Link});
+  }
+}
+
 void closeIdleForward(step_context &Step, caller_session &Session) {
   if (!Session.Transaction)
     closeSession(Step, session_number{Session.Number});
 }
 
 void peerLost(step_context &Step, const std::string &Link) {
+  Step.State.LinksAnsweredAt.erase(Link);
   std::vector<forward_origin> Ended;
   for (const auto &[Origin, Session] : Step.State.ForwardSessions)
     if (Origin.Link == Link)
@@ -261,6 +367,7 @@
   if (LastAnswerAt >= Connection.SentAt || UnresponsiveUntil > Step.Now)
     return;
   UnresponsiveUntil = Step.Now + UnresponsiveOwnerBackOff;
+  suspectPrimary(Step, Connection.Target);
   logLine(Step, "owner.silent",
           {{"owner", toText(*Connection.Owner)},
            {"target", Connection.Target},
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -55,13 +55,23 @@
 /// because the targets allow too few for every host and account.
 [[nodiscard]] bool areConnectionsOwned(const host &State,
                                        const std::string &Group);
-/// \brief Where to forward statements for a target, or nothing when this host
-/// sends them itself.
-[[nodiscard]] std::optional<endpoint>
-remoteOwner(const host &State, target_view &Target, instant Now);
-/// \brief Whether this host is a target's connection owner by the list of
-/// hosts, in which unresponsive owners count as well.
-[[nodiscard]] bool ownsTarget(const host &State, target_view &Target);
+enum class owner_kind {
+  Self, ///< This host uses the target over its own connections.
+  Peer, ///< Statements are forwarded to another host.
+  None  ///< The owner and its stand-ins do not answer.
+};
+struct owner_choice {
+  owner_kind Kind = owner_kind::None;
+  endpoint Peer; ///< Set if Kind is Peer.
+};
+/// \brief Which host runs statements on a target: the first of its owners that
+/// answers.
+[[nodiscard]] owner_choice chooseOwner(host &State, const target_view &Target,
+                                       instant Now);
+/// \brief This host's place among a target's owners: 0 for the owner, larger
+/// numbers for stand-ins, nothing for other hosts.
+[[nodiscard]] std::optional<std::size_t> ownerRank(host &State,
+                                                   const std::string &Target);
 void forwardRequest(step_context &Step, target_view &Target,
                     const endpoint &Owner, target_request &Request,
                     std::optional<log_position> RequiredPosition);
@@ -69,6 +79,10 @@
                  target_request &Request);
 void forwardRequested(step_context &Step, events::forward_requested &&Event);
 void forwardEnded(step_context &Step, const forward_origin &Origin);
+/// \brief Notes that an owner works, although it has not answered.
+void forwardPending(step_context &Step, const std::string &Link);
+/// \brief Tells forwarding hosts that wait for long that this owner works.
+void reportPendingForwards(step_context &Step);
 /// \brief Closes a forwarded session that has no open transaction.
 void closeIdleForward(step_context &Step, caller_session &Session);
 void peerLost(step_context &Step, const std::string &Link);
@@ -133,6 +147,22 @@
 /// answered or a dial failed.
 void noteReachability(step_context &Step, target_view &Target, bool Answered);
 
+// Evidence that a primary is lost (witnesses.cpp).
+/// \brief Notes that a target's owner or the target itself did not answer.
+void suspectPrimary(step_context &Step, const std::string &Target);
+void superviseWitnesses(step_context &Step);
+/// \param Answered The target told its status in time.
+void witnessProbed(step_context &Step, const std::string &Target,
+                   bool Answered);
+/// \brief How many hosts found that they cannot reach a group's primary, of
+/// those whose reports count.
+struct unreachable_reports {
+  std::size_t Reports = 0;
+  std::size_t Witnesses = 0;
+};
+[[nodiscard]] unreachable_reports
+countReports(const host &State, const std::string &Name, group_state &Group);
+
 // Use of primaries during a store outage (electors.cpp).
 /// Use of a primary without the store ends after this, so that a promotion need
 /// not wait for electors that have left for good.
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -13,9 +13,10 @@
 /// A new connection occupies a slot of the target for about this long and needs
 /// a round trip.
 constexpr double DialCostMs = 16;
-/// Round trip to another data centre, and a charge for the traffic between
-/// them.
-constexpr double OtherDataCentreCostMs = 3;
+/// Least charge for another data centre: about the round trip.
+constexpr double MinCrossingCostMs = 3;
+/// Part of a route's latency goal that is the charge for another data centre.
+constexpr double CrossingCostOfGoal = 0.1;
 /// Penalty for a target that refused a statement a moment ago.
 constexpr double RefusedPenaltyMs = 40;
 /// Penalties for a read on the primary, so that its slots are left to
@@ -65,22 +66,29 @@
   unsigned Hard = 1;
 };
 
+/// Limits of a target's owner, of its stand-ins or of another host. All limits
+/// of the owner and its stand-ins fit into the target's connections together.
+connection_limits ownerLimits(std::optional<std::size_t> Rank,
+                              unsigned MaxConnections) {
+  if (Rank == std::size_t{0})
+    return {std::max(1U, MaxConnections / 2),
+            std::max(1U, MaxConnections * 3 / 4)};
+  const unsigned StandIn = Rank ? std::max(1U, MaxConnections / 8) : 1;
+  return {StandIn, StandIn};
+}
+
 /// The hosts' soft limits leave half of a target's connections free: after a
 /// power loss the target holds the dead connections for seconds, and restarted
 /// hosts need new ones.
-connection_limits connectionLimits(const host &State, target_view &Target) {
+connection_limits connectionLimits(host &State, const target_view &Target) {
   const std::string &Group = Target.Entry.Group;
   const group_limits *Limits = findIn(State.Settings->Groups, Group);
   const std::size_t Hosts = std::max<std::size_t>(State.Hosts.size(), 1);
   const unsigned MaxConnections =
       Limits == nullptr ? 1 : Limits->MaxConnections;
+  if (areConnectionsOwned(State, Group))
+    return ownerLimits(ownerRank(State, Target.Entry.Id), MaxConnections);
   connection_limits Result;
-  if (areConnectionsOwned(State, Group)) {
-    const bool IsOwner = ownsTarget(State, Target);
-    Result.Soft = IsOwner ? std::max(1U, MaxConnections / 2) : 1;
-    Result.Hard = IsOwner ? std::max(1U, MaxConnections * 3 / 4) : 1;
-    return Result;
-  }
   Result.Hard = std::max(1U, static_cast<unsigned>(MaxConnections / Hosts));
   Result.Soft =
       std::max(1U, static_cast<unsigned>(MaxConnections / (2 * Hosts)));
@@ -176,9 +184,12 @@
     const bool IsPrimary = Group->Record->Primary == Id;
     if (isDrainOver(State, Target, Step.Now))
       continue;
+    const owner_kind Owner = chooseOwner(State, Target, Step.Now).Kind;
+    if (Owner == owner_kind::None)
+      continue;
     // A connection owner uses the primary under its own lease.
     const bool OwnerMayUsePrimary =
-        Group->Record->Open && remoteOwner(State, Target, Step.Now).has_value();
+        Group->Record->Open && Owner == owner_kind::Peer;
     if (IsPrimary && (MayUsePrimary || OwnerMayUsePrimary)) {
       if (Request.NeedsPrimary || !Request.ExcludedTargets.contains(Id))
         Candidates.push_back({&Target, std::nullopt});
@@ -202,17 +213,21 @@
   Option.Target = Index;
   Option.LatencyMs = Target.LatencyMs;
   Option.Running = Target.Running;
-  Option.SameDataCentre = Target.Entry.DataCentre == State.Identity.DataCentre;
+  if (Target.Entry.DataCentre != State.Identity.DataCentre)
+    Option.CrossingCostMs = crossingCostMs(Request.Route.LatencyGoal);
   Option.RecentlyRefused = Target.BusyUntil > Step.Now;
   Option.AvoidablePrimary =
       !Request.NeedsPrimary && !Candidate.RequiredPosition;
-  if (Request.ForwardedTarget.empty() && remoteOwner(State, Target, Step.Now)) {
+  if (Request.ForwardedTarget.empty() &&
+      chooseOwner(State, Target, Step.Now).Kind == owner_kind::Peer) {
     Option.IsForwarded = true;
     return Option;
   }
-  // Further statements wait here, in this host's order and not the target's.
+  // Further statements wait here, in this host's order and not the target's. A
+  // dial occupies a slot as well.
   if (areConnectionsOwned(State, Target.Entry.Group) &&
-      Target.Running >= Target.Entry.Slots + MaxQueuedAtTarget)
+      Target.Running + Target.Dialling >=
+          Target.Entry.Slots + MaxQueuedAtTarget)
     return Option;
   if (const auto *Idle =
           idleConnection(State, Target.Entry.Id, Request.Account, Session))
@@ -305,8 +320,8 @@
   if (Chosen->IsForwarded) {
     dequeue(State.Waiting, *Request.Rank);
     Request.Rank.reset();
-    forwardRequest(Step, Target, *remoteOwner(State, Target, Step.Now), Request,
-                   Candidates[Chosen->Target].RequiredPosition);
+    forwardRequest(Step, Target, chooseOwner(State, Target, Step.Now).Peer,
+                   Request, Candidates[Chosen->Target].RequiredPosition);
     return;
   }
   if (Chosen->Connection != 0) {
@@ -372,6 +387,11 @@
 
 } // namespace
 
+double crossingCostMs(duration LatencyGoal) noexcept {
+  return std::max(MinCrossingCostMs,
+                  toMilliseconds(LatencyGoal) * CrossingCostOfGoal);
+}
+
 std::optional<double>
 expectedLatencyMs(const placement_option &Option) noexcept {
   if (Option.Connection == 0 && !Option.CanDial && !Option.IsForwarded)
@@ -381,8 +401,7 @@
     LatencyMs = LatencyMs * PrimaryPenaltyFactor + PrimaryPenaltyMs;
   if (Option.Connection == 0 && !Option.IsForwarded)
     LatencyMs += DialCostMs;
-  if (!Option.SameDataCentre)
-    LatencyMs += OtherDataCentreCostMs;
+  LatencyMs += Option.CrossingCostMs;
   if (Option.RecentlyRefused)
     LatencyMs += RefusedPenaltyMs;
   return LatencyMs;
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -20,8 +20,10 @@
 constexpr duration LeaseLength = std::chrono::milliseconds(1600);
 /// Two renewals of a lease may be lost.
 constexpr int RenewalsPerLease = 4;
-/// Delay after a call to the store that failed.
-constexpr duration StoreRetryDelay = std::chrono::milliseconds(60);
+/// Delay after a call to the store that failed; it doubles with each failure in
+/// a row, as the store counts calls that it refuses as well.
+constexpr duration MinStoreRetryDelay = std::chrono::milliseconds(60);
+constexpr duration MaxStoreRetryDelay = std::chrono::milliseconds(960);
 /// A target whose dials fail for this long counts as unreachable.
 constexpr duration UnreachableAfter = std::chrono::milliseconds(200);
 constexpr unsigned MinDialFailures = 2;
@@ -30,6 +32,13 @@
 /// Time that statements may still run at a primary whose record was closed.
 constexpr duration ClosingGracePeriod = std::chrono::milliseconds(250);
 
+duration storeRetryDelay(unsigned Failures) {
+  constexpr unsigned MaxDoublings = 4;
+  return std::min(MaxStoreRetryDelay,
+                  MinStoreRetryDelay *
+                      (1U << std::min(Failures, MaxDoublings)));
+}
+
 std::string ownKey(const host &State) {
   return std::string(HostsPrefix) + State.Identity.Name;
 }
@@ -89,6 +98,8 @@
       Record.AcknowledgedClosures[Name] = Group.AcknowledgedClosure;
     if (Group.PrimaryUnreachable && Group.Record)
       Record.UnreachablePrimaries[Name] = Group.Record->Primary;
+    if (Group.Witness.IsReporting && Group.Record)
+      Record.SuspectedPrimaries[Name] = Group.Record->Primary;
   }
   return Record;
 }
@@ -116,6 +127,7 @@
     Lease.RegisteredAt = Now;
   Lease.RegisteredValue = Lease.PendingValue;
   Lease.RegisteredRevision = Revision;
+  Lease.FailedRegistrations = 0;
 }
 
 void groupChanged(step_context &Step, const std::string &Name,
@@ -129,6 +141,7 @@
   if (NewPrimary) {
     Group.Samples.Samples.clear();
     Group.PrimaryUnreachable = false;
+    Group.Witness = {};
   }
   if (!Parsed->Open && (!Group.Record || Group.Record->Open))
     Group.ClosedAt = Step.Now;
@@ -209,9 +222,10 @@
     return;
   }
   if (!Event.Answered) {
-    Lease.NextCallAt = Step.Now + StoreRetryDelay;
+    Lease.NextCallAt = Step.Now + storeRetryDelay(Lease.FailedCalls++);
     return;
   }
+  Lease.FailedCalls = 0;
   if (Event.Lease == 0) {
     if (Lease.Id != 0)
       loseLease(Step);
@@ -290,7 +304,8 @@
     else if (Event.Outcome == change_outcome::LeaseGone)
       loseLease(Step);
     else
-      Lease.NextRegisterAt = Step.Now + StoreRetryDelay;
+      Lease.NextRegisterAt =
+          Step.Now + storeRetryDelay(Lease.FailedRegistrations++);
     return;
   }
   if (!coordinatorChangeEnded(Step, Event))
@@ -302,6 +317,8 @@
   if (Group == nullptr || !Group->Record ||
       Group->Record->Primary != Target.Entry.Id)
     return;
+  if (!Answered)
+    suspectPrimary(Step, Target.Entry.Id);
   const duration FailingFor = Step.Now - Target.FirstDialFailure;
   const bool Silent = FailingFor >= SilentDialTimeout;
   const bool Unreachable = !Answered &&
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -79,18 +79,6 @@
       {1, Primary->Entry.Id, true, chooseElectors(Step.State, Step.Now)});
 }
 
-/// Number of hosts that cannot reach the group's primary.
-std::size_t hostsNotReachingPrimary(const host &State,
-                                    const std::string &Name) {
-  const std::string &Primary = State.Groups.at(Name).Record->Primary;
-  return static_cast<std::size_t>(std::count_if(
-      State.Hosts.begin(), State.Hosts.end(), [&](const auto &Entry) {
-        const auto &Reported = Entry.second.Record.UnreachablePrimaries;
-        const auto Found = Reported.find(Name);
-        return Found != Reported.end() && Found->second == Primary;
-      }));
-}
-
 /// Number of hosts that are listed or have expired recently. A host that still
 /// reaches the store while the others lost it must not decide alone that a
 /// primary is unreachable.
@@ -103,11 +91,13 @@
   return State.Hosts.size() + static_cast<std::size_t>(Expired);
 }
 
-/// Whether at least half of the hosts cannot reach the group's primary.
+/// Whether at least half of the witnesses cannot reach the group's primary. The
+/// number of witnesses is scaled up by the hosts that have expired recently.
 bool isPrimaryUnreachable(const host &State, const std::string &Name,
-                          instant Now) {
-  const std::size_t Reports = hostsNotReachingPrimary(State, Name);
-  return Reports > 0 && Reports * 2 >= recentHosts(State, Now);
+                          group_state &Group, instant Now) {
+  const unreachable_reports Count = countReports(State, Name, Group);
+  return Count.Reports > 0 && Count.Reports * 2 * State.Hosts.size() >=
+                                  Count.Witnesses * recentHosts(State, Now);
 }
 
 bool replicaListed(const host &State, const std::string &Name,
@@ -135,7 +125,8 @@
       findIn(Step.State.Targets, Group.Record->Primary);
   const bool UnlistedOrDraining =
       Primary == nullptr || !Primary->Listed || Primary->Entry.Draining;
-  const bool Unreachable = isPrimaryUnreachable(Step.State, Name, Step.Now);
+  const bool Unreachable =
+      isPrimaryUnreachable(Step.State, Name, Group, Step.Now);
   if ((!UnlistedOrDraining && !Unreachable) ||
       !replicaListed(Step.State, Name, Group.Record->Primary))
     return;
@@ -148,7 +139,7 @@
            {"primary", Group.Record->Primary},
            {"planned", Group.Promotion.Planned ? "true" : "false"},
            {"blind_hosts",
-            std::to_string(hostsNotReachingPrimary(Step.State, Name))},
+            std::to_string(countReports(Step.State, Name, Group).Reports)},
            {"hosts", std::to_string(Step.State.Hosts.size())}});
   closeRecord(Step, Name, Group);
 }
@@ -424,6 +415,7 @@
 }
 
 void targetProbed(step_context &Step, const events::target_probed &Event) {
+  witnessProbed(Step, Event.Target, Event.Status.has_value());
   for (auto &[Name, Group] : Step.State.Groups) {
     const target_view *Target = findIn(Step.State.Targets, Event.Target);
     if (Target == nullptr || Target->Entry.Group != Name)
--- a/src/proxy/records.cpp
+++ b/src/proxy/records.cpp
@@ -7,6 +7,31 @@
 
 namespace json = boost::json;
 
+namespace {
+
+json::object toObject(const std::map<std::string, std::string> &Primaries) {
+  json::object Object;
+  for (const auto &[Group, Primary] : Primaries)
+    Object[Group] = Primary;
+  return Object;
+}
+
+std::map<std::string, std::string> primariesOf(const json::object &Object,
+                                               std::string_view Field) {
+  std::map<std::string, std::string> Primaries;
+  const json::value *Map =
+      Object.if_contains(json::string_view(Field.data(), Field.size()));
+  if (Map == nullptr || !Map->is_object())
+    return Primaries;
+  for (const auto &Entry : Map->as_object())
+    if (Entry.value().is_string())
+      Primaries[std::string(Entry.key())] =
+          std::string_view(Entry.value().as_string());
+  return Primaries;
+}
+
+} // namespace
+
 bool hasAcknowledged(const host_record &Record, const std::string &Group,
                      std::uint64_t Generation) {
   const auto Found = Record.AcknowledgedClosures.find(Group);
@@ -27,14 +52,14 @@
   json::object Acknowledged;
   for (const auto &[Group, Generation] : Record.AcknowledgedClosures)
     Acknowledged[Group] = Generation;
-  json::object Blind;
-  for (const auto &[Group, Primary] : Record.UnreachablePrimaries)
-    Blind[Group] = Primary;
-  return json::serialize(json::object{{"peers", toText(Record.PeerEndpoint)},
-                                      {"data_centre", Record.DataCentre},
-                                      {"acknowledged", Acknowledged},
-                                      {"leaving", Record.Leaving},
-                                      {"blind", Blind}});
+  json::object Object{{"peers", toText(Record.PeerEndpoint)},
+                      {"data_centre", Record.DataCentre},
+                      {"acknowledged", Acknowledged},
+                      {"leaving", Record.Leaving},
+                      {"blind", toObject(Record.UnreachablePrimaries)}};
+  if (!Record.SuspectedPrimaries.empty())
+    Object["suspected"] = toObject(Record.SuspectedPrimaries);
+  return json::serialize(Object);
 }
 
 std::optional<group_record> parseGroupRecord(std::string_view Text) {
@@ -76,12 +101,8 @@
     for (const auto &Entry : Map->as_object())
       if (const auto Generation = toUnsigned(&Entry.value()))
         Record.AcknowledgedClosures[std::string(Entry.key())] = *Generation;
-  if (const json::value *Map = Object->if_contains("blind");
-      Map != nullptr && Map->is_object())
-    for (const auto &Entry : Map->as_object())
-      if (Entry.value().is_string())
-        Record.UnreachablePrimaries[std::string(Entry.key())] =
-            std::string_view(Entry.value().as_string());
+  Record.UnreachablePrimaries = primariesOf(*Object, "blind");
+  Record.SuspectedPrimaries = primariesOf(*Object, "suspected");
   return Record;
 }
 
--- a/src/proxy/records.hpp
+++ b/src/proxy/records.hpp
@@ -37,6 +37,8 @@
   std::map<std::string, std::uint64_t> AcknowledgedClosures;
   /// Primaries that the host cannot reach, by group.
   std::map<std::string, std::string> UnreachablePrimaries;
+  /// Primaries whose connection owner does not answer the host, by group.
+  std::map<std::string, std::string> SuspectedPrimaries;
 };
 
 /// \brief Whether the host stopped using the group's primary for this closed
--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -206,12 +206,14 @@
 
 void answerSession(step_context &Step, const caller_session &Session,
                    answer Answer) {
-  if (Session.Origin)
-    Step.Out.push_back(effects::answer_forward{
-        Session.Origin->Link, Session.Origin->Ticket, std::move(Answer)});
-  else
+  if (!Session.Origin) {
     Step.Out.push_back(
         effects::answer_caller{Session.Number, std::move(Answer)});
+    return;
+  }
+  Step.State.LinksAnsweredAt[Session.Origin->Link] = Step.Now;
+  Step.Out.push_back(effects::answer_forward{
+      Session.Origin->Link, Session.Origin->Ticket, std::move(Answer)});
 }
 
 void drainBacklog(step_context &Step, caller_session &Session) {
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -158,8 +158,7 @@
   duration LagBackOff = std::chrono::milliseconds(20);
   log_position KnownPosition; ///< Highest position that it reported.
   instant AnsweredAt{};
-  std::string OwnerName;          ///< Its connection owner as of OwnerVersion.
-  std::uint64_t OwnerVersion = 0; ///< HostsVersion when it was computed.
+  unsigned Dialling = 0; ///< Connections that are being opened.
 };
 
 enum class promotion_stage {
@@ -198,6 +197,17 @@
   std::string Candidate;
 };
 
+/// \brief What this host knows of a loss of a group's primary.
+struct witness_state {
+  std::vector<std::string> Names; ///< Witnesses as of HostsVersion.
+  std::uint64_t HostsVersion = 0;
+  instant SuspectedUntil{}; ///< This host has cause for suspicion until then.
+  bool IsReporting = false; ///< The host's record shows the suspicion.
+  instant NextProbeAt{};
+  /// First of the consecutive requests for its status without an answer.
+  std::optional<instant> SilentSince;
+};
+
 /// \brief This host's view of a group, and the group's promotion.
 struct group_state {
   std::optional<group_record> Record;
@@ -205,6 +215,7 @@
   freshness_samples Samples;
   promotion_state Promotion;
   bool PrimaryUnreachable = false; ///< This host cannot reach the primary.
+  witness_state Witness;
   /// Closed generation for which this host stopped using the primary.
   std::uint64_t AcknowledgedClosure = 0;
   instant ClosedAt{};           ///< When this host saw the closed record.
@@ -222,6 +233,8 @@
   instant ValidUntil{}; ///< The lease allows use of primaries until then.
   duration TimeToLive{};
   instant NextCallAt{};
+  unsigned FailedCalls = 0;         ///< Consecutive lease calls that failed.
+  unsigned FailedRegistrations = 0; ///< Consecutive ones.
   bool CallPending = false;
   /// The pending call concerns a lease that has ended; its answer is ignored.
   bool PendingCallIsObsolete = false;
@@ -278,6 +291,14 @@
   std::string DataCentre;
 };
 
+/// \brief Connection owners of all targets, best first, by target id.
+/// \remarks Valid for the versions of the hosts and targets named here.
+struct owner_table {
+  std::uint64_t HostsVersion = 0;
+  std::uint64_t TargetsVersion = 0;
+  std::map<std::string, std::vector<std::string>> Owners;
+};
+
 struct host {
   host_identity Identity;
   std::optional<proxy_settings> Settings;
@@ -290,6 +311,8 @@
   /// By name, including this host. Changes come from several sources, of which
   /// one may lag, so a record only replaces one with a lower revision.
   std::map<std::string, listed_peer> Hosts;
+  /// Hosts whose record reports an unreachable or suspected primary.
+  std::set<std::string> ReportingHosts;
   /// Removals newer than HostsReadRevision, by name: an older record does not
   /// list the host again.
   std::map<std::string, host_removal> HostRemovals;
@@ -301,7 +324,13 @@
   /// Owners that did not answer in time, and until when they are not used.
   std::map<endpoint, instant> UnresponsiveOwners;
   std::map<endpoint, instant> OwnersAnsweredAt;
-  std::uint64_t HostsVersion = 0; ///< Increases with each change of Hosts.
+  /// When this host, as owner, last sent something on a link.
+  std::map<std::string, instant> LinksAnsweredAt;
+  /// Increases when a host joins, leaves, stops or changes its address.
+  std::uint64_t HostsVersion = 1;
+  /// Increases when a target is listed, leaves or moves to a data centre.
+  std::uint64_t TargetsVersion = 1;
+  owner_table OwnerTable;
   allowance_table Allowances;
   lease_state Lease;
   vote_round Votes;
--- a/src/serve/peer_links.cpp
+++ b/src/serve/peer_links.cpp
@@ -246,6 +246,8 @@
                                               std::move(*Forwarded)});
   } else if (const auto *End = Message->body_as_ForwardEnd()) {
     Events(proxy::events::forward_ended{Name, End->ticket()});
+  } else if (Message->body_as_ForwardPending() != nullptr) {
+    Events(proxy::events::forward_pending{Name});
   } else if (const auto *Completed = Message->body_as_ForwardAnswer()) {
     if (auto Decoded = decodeAnswer(*Completed))
       Events(proxy::events::target_answered{Completed->ticket(),
@@ -367,6 +369,16 @@
     Found->second->send(encodeAnswer(Effect));
 }
 
+void peer_links::carryOut(const proxy::effects::report_pending &Effect) {
+  const auto Found = Sockets.find(Effect.Link);
+  if (Found != Sockets.end())
+    Found->second->send(
+        encodeFrame(wire::SessionBody_ForwardPending,
+                    [](flatbuffers::FlatBufferBuilder &Builder) {
+                      return wire::CreateForwardPending(Builder);
+                    }));
+}
+
 void peer_links::carryOut(const proxy::effects::drop_peer &Effect) {
   const std::string Name = toText(Effect.Peer);
   const auto Found = Sockets.find(Name);
--- a/src/serve/peer_links.hpp
+++ b/src/serve/peer_links.hpp
@@ -40,6 +40,7 @@
   void carryOut(const proxy::effects::forward &Effect);
   void carryOut(const proxy::effects::end_forward &Effect);
   void carryOut(const proxy::effects::answer_forward &Effect);
+  void carryOut(const proxy::effects::report_pending &Effect);
   void carryOut(const proxy::effects::drop_peer &Effect);
   /// \brief Sends a call through a peer; Callback runs once.
   void relay(const endpoint &Peer, const platform::http_call &Call,
--- a/src/serve/session_daemon.cpp
+++ b/src/serve/session_daemon.cpp
@@ -110,6 +110,7 @@
   void carryOut(const effects::forward &E) { Peers.carryOut(E); }
   void carryOut(const effects::end_forward &E) { Peers.carryOut(E); }
   void carryOut(const effects::answer_forward &E) { Peers.carryOut(E); }
+  void carryOut(const effects::report_pending &E) { Peers.carryOut(E); }
   void carryOut(const effects::drop_peer &E) { Peers.carryOut(E); }
   void carryOut(const effects::request_vote &E) { Peers.carryOut(E); }
   void carryOut(const effects::send_vote &E) { Peers.carryOut(E); }
--- a/tests/proxy/parts_tests.cpp
+++ b/tests/proxy/parts_tests.cpp
@@ -70,8 +70,8 @@
 
 TEST_CASE("A dial to a fast target is preferred to a slow idle connection") {
   std::array<placement_option, 2> Options;
-  Options[0] = {0, 120, 1, true, false, false, 7, false, false};
-  Options[1] = {1, 8, 0, true, false, false, 0, true, false};
+  Options[0] = {0, 120, 1, 0, false, false, 7, false, false};
+  Options[1] = {1, 8, 0, 0, false, false, 0, true, false};
   const auto Chosen = choosePlacement(Options);
   REQUIRE(Chosen);
   CHECK(Chosen->Target == 1);
@@ -79,8 +79,8 @@
 
 TEST_CASE("Reads that a replica can serve avoid the primary") {
   std::array<placement_option, 2> Options;
-  Options[0] = {0, 10, 0, true, false, true, 7, false, false};
-  Options[1] = {1, 10, 0, true, false, false, 8, false, false};
+  Options[0] = {0, 10, 0, 0, false, true, 7, false, false};
+  Options[1] = {1, 10, 0, 0, false, false, 8, false, false};
   CHECK(choosePlacement(Options)->Target == 1);
   Options[1].Connection = 0;
   CHECK(choosePlacement(Options)->Target == 0);
