Let the owner of a replica decide which position a read requires

Cause: a host knows a position of a primary only from its own statements there. In a large fleet it sends one every ten seconds, so no position was young enough to prove that a replica is fresh, and reads went to the primaries (one target had nine times the mean).

Change: a read for a replica is forwarded without that position; the owner adds it, and asks the primary's owner for its latest one while there are such reads. Only the age crosses between hosts, as their clocks differ, and it is counted from the sending of the request. Silence of an owner counts from its last sign. Acknowledgements stay in a host's record, which saves a write by each host when a record is opened. Owners use three quarters of a target's connections, not half.

Ruled out: asking by every host, 20 requests a second each in the large fleet.

--- a/include/bronzespar/proxy/interface.hpp
+++ b/include/bronzespar/proxy/interface.hpp
@@ -71,6 +71,21 @@
   std::vector<std::string> Groups;
 };
 
+/// \brief Asks a primary's connection owner for the primary's position.
+struct position_request {
+  std::string Group;
+  instant AskedAt{}; ///< By the asking host's clock; the answer repeats it.
+};
+
+/// \brief A position that a primary reported to its connection owner.
+struct shared_position {
+  std::string Group;
+  std::string Primary;
+  log_position Position;
+  duration Age{}; ///< Since the primary's statement was sent.
+  instant AskedAt{};
+};
+
 /// \brief Which transaction, if any, a forwarded statement begins.
 enum class forward_begin { None, Begin, BeginRead };
 BOOST_DESCRIBE_ENUM(forward_begin, None, Begin, BeginRead)
@@ -84,7 +99,10 @@
   std::map<std::string, std::string> Values; ///< The session's values.
   std::string Template; ///< Statement template, for Execute only.
   statement Statement;
+  /// Position that the session requires; the owner adds what MaxStaleness
+  /// requires.
   std::optional<log_position> RequiredPosition;
+  duration MaxStaleness{}; ///< Of a read on a replica.
   forward_begin Begins = forward_begin::None;
   bool InTransaction = false;
   /// The owner may run it only while it may use the target as primary.
@@ -209,6 +227,14 @@
   vote Vote;
 };
 
+struct position_requested {
+  std::string Link;
+  position_request Request;
+};
+struct position_received {
+  shared_position Shared;
+};
+
 struct tokens_requested {
   std::string Link;
   token_transfer Wanted;
@@ -233,8 +259,9 @@
     events::records_read, events::change_ended, events::lease_answered,
     events::promotion_answered, events::forward_requested,
     events::forward_ended, events::forward_pending, events::peer_lost,
-    events::vote_requested, events::vote_received, events::tokens_requested,
-    events::tokens_granted, events::stop_requested, events::tick>;
+    events::vote_requested, events::vote_received, events::position_requested,
+    events::position_received, events::tokens_requested, events::tokens_granted,
+    events::stop_requested, events::tick>;
 
 namespace effects {
 
@@ -339,6 +366,15 @@
   vote Vote;
 };
 
+struct request_position {
+  endpoint Owner;
+  position_request Request;
+};
+struct send_position {
+  std::string Link;
+  shared_position Shared;
+};
+
 struct request_tokens {
   endpoint Peer;
   token_transfer Wanted;
@@ -390,9 +426,10 @@
     effects::revoke_lease, effects::order_promotion, effects::forward,
     effects::end_forward, effects::drop_peer, effects::answer_forward,
     effects::report_pending, effects::request_vote, effects::send_vote,
-    effects::request_tokens, effects::grant_tokens, effects::set_store_relays,
-    effects::set_watch_source, effects::set_ready, effects::write_log,
-    effects::record_outcome, effects::stop_process>;
+    effects::request_position, effects::send_position, effects::request_tokens,
+    effects::grant_tokens, effects::set_store_relays, effects::set_watch_source,
+    effects::set_ready, effects::write_log, effects::record_outcome,
+    effects::stop_process>;
 using effect_list = std::vector<effect>;
 
 } // namespace bronzespar::proxy
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -22,6 +22,7 @@
 
 void runPeriodicTasks(step_context &Step) {
   reportPendingForwards(Step);
+  superviseSamples(Step);
   superviseWitnesses(Step);
   superviseLease(Step);
   superviseElectors(Step);
@@ -96,6 +97,12 @@
   void operator()(events::vote_received &Event) {
     voteReceived(Step, Event.Vote);
   }
+  void operator()(events::position_requested &Event) {
+    positionRequested(Step, Event);
+  }
+  void operator()(events::position_received &Event) {
+    positionReceived(Step, Event.Shared);
+  }
   void operator()(events::tokens_requested &Event) {
     tokensRequested(Step, Event);
   }
--- a/src/proxy/owners.cpp
+++ b/src/proxy/owners.cpp
@@ -114,7 +114,8 @@
 
 forwarded_statement makeForwardedStatement(step_context &Step,
                                            const target_connection &Connection,
-                                           const target_request &Request) {
+                                           const target_request &Request,
+                                           bool OnReplica) {
   const caller_session &Session = Step.State.Sessions.at(Request.Session);
   forwarded_statement Forwarded;
   Forwarded.Id = Request.Id;
@@ -129,7 +130,8 @@
   Forwarded.Statement.Writes = Request.Writes;
   Forwarded.RequiredPosition = Request.RequiredPosition;
   Forwarded.InTransaction = Request.InTransaction;
-  Forwarded.NeedsPrimary = !Request.RequiredPosition;
+  Forwarded.NeedsPrimary = !OnReplica;
+  Forwarded.MaxStaleness = Request.Route.MaxStaleness;
   Forwarded.Priority = Request.Route.Priority;
   Forwarded.RemainingTime = Request.Deadline - Step.Now;
   return Forwarded;
@@ -178,6 +180,7 @@
   Route.Group = Forwarded.Group;
   Route.Priority = Forwarded.Priority;
   Route.StatementTimeout = Forwarded.RemainingTime;
+  Route.MaxStaleness = Forwarded.MaxStaleness;
   Route.Consistency = Forwarded.NeedsPrimary
                           ? read_consistency::Primary
                           : read_consistency::BoundedStaleness;
@@ -233,6 +236,7 @@
 
 void forwardRequest(step_context &Step, target_view &Target,
                     const endpoint &Owner, target_request &Request,
+                    bool OnReplica,
                     std::optional<log_position> RequiredPosition) {
   caller_session &Session = Step.State.Sessions.at(Request.Session);
   target_connection Connection;
@@ -246,7 +250,7 @@
   Request.RequiredPosition = RequiredPosition;
   Request.Attempts += 1;
   forwarded_statement Forwarded =
-      makeForwardedStatement(Step, Connection, Request);
+      makeForwardedStatement(Step, Connection, Request, OnReplica);
   if (Request.InTransaction) {
     Forwarded.Begins = Session.Transaction->ReadOnly ? forward_begin::BeginRead
                                                      : forward_begin::Begin;
@@ -262,7 +266,7 @@
 void forwardNext(step_context &Step, target_connection &Connection,
                  target_request &Request) {
   sendForward(Step, Connection, Request,
-              makeForwardedStatement(Step, Connection, Request));
+              makeForwardedStatement(Step, Connection, Request, false));
 }
 
 void forwardRequested(step_context &Step, events::forward_requested &&Event) {
@@ -299,7 +303,7 @@
   Request.Writes = Forwarded.Statement.Writes;
   Request.InTransaction = Forwarded.InTransaction;
   Request.ForwardedTarget = Forwarded.Target;
-  Request.RequiredPosition = Forwarded.RequiredPosition;
+  Request.ForwardedPosition = Forwarded.RequiredPosition;
   Request.ArrivedAt = Step.Now;
   Request.Deadline = Step.Now + Forwarded.RemainingTime;
   Request.Statement = std::move(Forwarded.Statement);
@@ -357,33 +361,46 @@
     targetLost(Step, Number);
 }
 
+namespace {
+
+/// Time for which an owner has sent nothing although a statement waits there.
+/// It reports while it works on one, so silence means that it is lost.
+duration silenceOfOwner(const host &State, const target_connection &Connection,
+                        instant Now) {
+  const auto AnsweredAt = State.OwnersAnsweredAt.find(*Connection.Owner);
+  const instant Since = AnsweredAt == State.OwnersAnsweredAt.end()
+                            ? Connection.SentAt
+                            : std::max(Connection.SentAt, AnsweredAt->second);
+  return Now - Since;
+}
+
+} // namespace
+
 void detectUnresponsiveOwner(step_context &Step,
                              const target_connection &Connection) {
-  if (!Connection.Owner || Connection.Phase != connection_phase::Running ||
-      Step.Now < Connection.SentAt + OwnerAnswerTimeout)
+  if (!Connection.Owner || Connection.Phase != connection_phase::Running)
+    return;
+  const duration Silence = silenceOfOwner(Step.State, Connection, Step.Now);
+  if (Silence < OwnerAnswerTimeout)
     return;
-  const instant LastAnswerAt = Step.State.OwnersAnsweredAt[*Connection.Owner];
   instant &UnresponsiveUntil = Step.State.UnresponsiveOwners[*Connection.Owner];
-  if (LastAnswerAt >= Connection.SentAt || UnresponsiveUntil > Step.Now)
+  if (UnresponsiveUntil > Step.Now)
     return;
   UnresponsiveUntil = Step.Now + UnresponsiveOwnerBackOff;
   suspectPrimary(Step, Connection.Target);
   logLine(Step, "owner.silent",
           {{"owner", toText(*Connection.Owner)},
            {"target", Connection.Target},
-           {"ms", elapsedMsText(Connection.SentAt, Step.Now)}});
+           {"ms", elapsedMsText(instant{}, instant(Silence))}});
 }
 
 void disconnectUnresponsiveOwners(step_context &Step) {
   std::set<endpoint> Unresponsive;
-  for (const auto &[Number, Connection] : Step.State.Connections) {
-    if (!Connection.Owner || Connection.Phase != connection_phase::Running)
-      continue;
-    const bool HasAnswered =
-        Step.State.OwnersAnsweredAt[*Connection.Owner] >= Connection.SentAt;
-    if (!HasAnswered && Step.Now > Connection.SentAt + OwnerDisconnectTimeout)
+  for (const auto &[Number, Connection] : Step.State.Connections)
+    if (Connection.Owner && Connection.Phase == connection_phase::Running &&
+        silenceOfOwner(Step.State, Connection, Step.Now) >
+            OwnerDisconnectTimeout)
       Unresponsive.insert(*Connection.Owner);
-  }
   for (const endpoint &Owner : Unresponsive)
     Step.Out.push_back(effects::drop_peer{Owner});
 }
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -45,10 +45,22 @@
 // Placement of queued requests on targets (placement.cpp).
 void placeWaiting(step_context &Step);
 /// \brief Position that a replica must cover to answer a request's read, or
-/// nothing when only the primary may answer it.
+/// nothing while no recent position of the primary is known.
+/// \remarks Only for reads that mayReadReplica allows.
 [[nodiscard]] std::optional<log_position>
 requiredReadPosition(const host &State, const target_request &Request,
                      instant Now);
+/// \brief Whether a replica may answer a request's read, if it is fresh enough.
+[[nodiscard]] bool mayReadReplica(const host &State,
+                                  const target_request &Request, instant Now);
+
+// Positions of primaries (positions.cpp).
+void superviseSamples(step_context &Step);
+/// \brief Notes that a read needs a position of the group's primary.
+void noteReplicaRead(step_context &Step, const std::string &Name);
+void positionRequested(step_context &Step,
+                       const events::position_requested &Event);
+void positionReceived(step_context &Step, const shared_position &Shared);
 
 // Connection owners (owners.cpp).
 /// \brief Whether one host owns all connections to each target of a group,
@@ -72,8 +84,11 @@
 /// numbers for stand-ins, nothing for other hosts.
 [[nodiscard]] std::optional<std::size_t> ownerRank(host &State,
                                                    const std::string &Target);
+/// \param OnReplica The target may be a replica.
+/// \param RequiredPosition Position that the session requires.
 void forwardRequest(step_context &Step, target_view &Target,
                     const endpoint &Owner, target_request &Request,
+                    bool OnReplica,
                     std::optional<log_position> RequiredPosition);
 void forwardNext(step_context &Step, target_connection &Connection,
                  target_request &Request);
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -71,9 +71,9 @@
 connection_limits ownerLimits(std::optional<std::size_t> Rank,
                               unsigned MaxConnections) {
   if (Rank == std::size_t{0})
-    return {std::max(1U, MaxConnections / 2),
-            std::max(1U, MaxConnections * 3 / 4)};
-  const unsigned StandIn = Rank ? std::max(1U, MaxConnections / 8) : 1;
+    return {std::max(1U, MaxConnections * 3 / 4),
+            std::max(1U, MaxConnections * 7 / 8)};
+  const unsigned StandIn = Rank ? std::max(1U, MaxConnections / 16) : 1;
   return {StandIn, StandIn};
 }
 
@@ -135,8 +135,23 @@
       }));
 }
 
+/// Position of the session's own last commit, if its reads must cover it.
+std::optional<log_position> sessionPosition(const host &State,
+                                            const target_request &Request) {
+  if (!Request.ForwardedTarget.empty())
+    return Request.ForwardedPosition;
+  const auto Session = State.Sessions.find(Request.Session);
+  if (Session == State.Sessions.end() ||
+      Request.Route.Consistency != read_consistency::ReadYourWrites)
+    return std::nullopt;
+  return Session->second.LastCommitPosition;
+}
+
 struct candidate {
   target_view *Target = nullptr;
+  bool OnReplica = false; ///< Used without the right to use a primary.
+  /// Position that the target must have reached. If the statement is forwarded,
+  /// only the session's own: the owner adds what the route requires.
   std::optional<log_position> RequiredPosition;
 };
 
@@ -156,14 +171,42 @@
   if (Target == nullptr || !Target->Listed ||
       isDrainOver(Step.State, *Target, Step.Now))
     return;
-  const bool IsPrimary = Group.Record->Primary == Request.ForwardedTarget;
-  if (Request.NeedsPrimary ? IsPrimary && MayUsePrimary
-                           : !Target->Entry.Draining)
-    Candidates.push_back({Target, Request.RequiredPosition});
+  if (Request.NeedsPrimary) {
+    if (Group.Record->Primary == Request.ForwardedTarget && MayUsePrimary)
+      Candidates.push_back({Target, false, std::nullopt});
+    return;
+  }
+  noteReplicaRead(Step, Request.Route.Group);
+  const auto Required = requiredReadPosition(Step.State, Request, Step.Now);
+  if (Required && !Target->Entry.Draining)
+    Candidates.push_back({Target, true, Required});
+}
+
+/// Whether a replica lacked a position of late that the read needs.
+bool isKnownToLag(const target_view &Target,
+                  const std::optional<log_position> &Required, instant Now) {
+  return Target.LaggingUntil > Now &&
+         (!Required || Target.KnownPosition < *Required);
+}
+
+/// Adds a target that a read may use as a replica.
+void addReplica(step_context &Step, const target_request &Request,
+                target_view &Target, bool IsForwarded,
+                std::vector<candidate> &Candidates) {
+  if (Target.Entry.Draining ||
+      Request.ExcludedTargets.contains(Target.Entry.Id))
+    return;
+  if (!IsForwarded)
+    noteReplicaRead(Step, Request.Route.Group);
+  const auto Required =
+      IsForwarded ? sessionPosition(Step.State, Request)
+                  : requiredReadPosition(Step.State, Request, Step.Now);
+  if ((!IsForwarded && !Required) || isKnownToLag(Target, Required, Step.Now))
+    return;
+  Candidates.push_back({&Target, true, Required});
 }
 
-/// Targets that may run the request now, each with the position that it must
-/// have reached.
+/// Targets that may run the request now.
 std::vector<candidate> candidatesFor(step_context &Step,
                                      const target_request &Request) {
   host &State = Step.State;
@@ -177,12 +220,10 @@
     addForwardedTarget(Step, Request, *Group, MayUsePrimary, Candidates);
     return Candidates;
   }
-  const auto Required = requiredReadPosition(State, Request, Step.Now);
+  const bool MayReadReplica = mayReadReplica(State, Request, Step.Now);
   for (auto &[Id, Target] : State.Targets) {
-    if (Target.Entry.Group != Request.Route.Group || !Target.Listed)
-      continue;
-    const bool IsPrimary = Group->Record->Primary == Id;
-    if (isDrainOver(State, Target, Step.Now))
+    if (Target.Entry.Group != Request.Route.Group || !Target.Listed ||
+        isDrainOver(State, Target, Step.Now))
       continue;
     const owner_kind Owner = chooseOwner(State, Target, Step.Now).Kind;
     if (Owner == owner_kind::None)
@@ -190,16 +231,12 @@
     // A connection owner uses the primary under its own lease.
     const bool OwnerMayUsePrimary =
         Group->Record->Open && Owner == owner_kind::Peer;
-    if (IsPrimary && (MayUsePrimary || OwnerMayUsePrimary)) {
+    if (Group->Record->Primary == Id && (MayUsePrimary || OwnerMayUsePrimary)) {
       if (Request.NeedsPrimary || !Request.ExcludedTargets.contains(Id))
-        Candidates.push_back({&Target, std::nullopt});
-      continue;
+        Candidates.push_back({&Target, false, std::nullopt});
+    } else if (MayReadReplica) {
+      addReplica(Step, Request, Target, Owner == owner_kind::Peer, Candidates);
     }
-    if (Request.NeedsPrimary || !Required || Target.Entry.Draining ||
-        Request.ExcludedTargets.contains(Id) ||
-        (Target.LaggingUntil > Step.Now && Target.KnownPosition < *Required))
-      continue;
-    Candidates.push_back({&Target, Required});
   }
   return Candidates;
 }
@@ -216,8 +253,7 @@
   if (Target.Entry.DataCentre != State.Identity.DataCentre)
     Option.CrossingCostMs = crossingCostMs(Request.Route.LatencyGoal);
   Option.RecentlyRefused = Target.BusyUntil > Step.Now;
-  Option.AvoidablePrimary =
-      !Request.NeedsPrimary && !Candidate.RequiredPosition;
+  Option.AvoidablePrimary = !Request.NeedsPrimary && !Candidate.OnReplica;
   if (Request.ForwardedTarget.empty() &&
       chooseOwner(State, Target, Step.Now).Kind == owner_kind::Peer) {
     Option.IsForwarded = true;
@@ -286,7 +322,10 @@
   const caller_session &Session = State.Sessions.at(Request.Session);
   const auto Candidates = candidatesFor(Step, Request);
   if (Candidates.empty() && !Request.ForwardedTarget.empty()) {
-    attemptFailed(Step, Request, answer_code::ReadOnly, true);
+    attemptFailed(Step, Request,
+                  Request.NeedsPrimary ? answer_code::ReadOnly
+                                       : answer_code::Lagging,
+                  true);
     return;
   }
   if (Candidates.empty()) {
@@ -321,7 +360,8 @@
     dequeue(State.Waiting, *Request.Rank);
     Request.Rank.reset();
     forwardRequest(Step, Target, chooseOwner(State, Target, Step.Now).Peer,
-                   Request, Candidates[Chosen->Target].RequiredPosition);
+                   Request, Candidates[Chosen->Target].OnReplica,
+                   Candidates[Chosen->Target].RequiredPosition);
     return;
   }
   if (Chosen->Connection != 0) {
@@ -421,25 +461,30 @@
   return Best;
 }
 
+bool mayReadReplica(const host &State, const target_request &Request,
+                    instant Now) {
+  if (Request.NeedsPrimary ||
+      Request.Route.Consistency == read_consistency::Primary)
+    return false;
+  const auto Session = State.Sessions.find(Request.Session);
+  return Request.Route.Consistency == read_consistency::BoundedStaleness ||
+         Session == State.Sessions.end() ||
+         !Session->second.LastCommitPosition ||
+         Now >= Session->second.LastCommitAt + OwnWriteReplicationDelay;
+}
+
 std::optional<log_position> requiredReadPosition(const host &State,
                                                  const target_request &Request,
                                                  instant Now) {
-  if (Request.Route.Consistency == read_consistency::Primary)
-    return std::nullopt;
   const auto Group = State.Groups.find(Request.Route.Group);
-  const auto Session = State.Sessions.find(Request.Session);
-  if (Group == State.Groups.end() || Session == State.Sessions.end())
+  if (Group == State.Groups.end())
     return std::nullopt;
   const auto Sample = positionForAge(
       Group->second.Samples, Now, Request.Route.MaxStaleness - StalenessMargin);
   if (!Sample)
     return std::nullopt;
-  if (Request.Route.Consistency == read_consistency::BoundedStaleness ||
-      !Session->second.LastCommitPosition)
-    return Sample->Position;
-  if (Now < Session->second.LastCommitAt + OwnWriteReplicationDelay)
-    return std::nullopt;
-  return std::max(Sample->Position, *Session->second.LastCommitPosition);
+  const auto Own = sessionPosition(State, Request);
+  return Own ? std::max(Sample->Position, *Own) : Sample->Position;
 }
 
 void placeWaiting(step_context &Step) {
--- /dev/null
+++ b/src/proxy/positions.cpp
@@ -0,0 +1,90 @@
+/// Positions of primaries, shared with the hosts that run reads on replicas.
+///
+/// Load pattern: in a large fleet each host sends a primary a statement only
+/// now and then, so that it rarely knows a position young enough to prove that
+/// a replica is fresh. All reads would then go to the primaries. Therefore the
+/// host that runs a read on a replica decides which position is required, and
+/// while there are such reads it asks the primary's connection owner, which
+/// knows the latest position from the statements of the whole fleet.
+#include "parts.hpp"
+
+#include <algorithm>
+
+namespace bronzespar::proxy {
+
+namespace {
+
+/// A newer position is asked for when the newest known one is this old.
+constexpr duration SampleRefreshAge = std::chrono::milliseconds(250);
+/// A request for a position that is not answered in time is repeated.
+constexpr duration PositionAnswerTimeout = std::chrono::milliseconds(250);
+/// Positions are asked for until this long after the last read that needs them.
+constexpr duration ReplicaDemandPeriod = std::chrono::milliseconds(3000);
+
+bool needsSample(const group_state &Group, instant Now) {
+  if (!Group.Record || !Group.Record->Open ||
+      Group.ReplicaReadAt == instant{} ||
+      Now > Group.ReplicaReadAt + ReplicaDemandPeriod ||
+      Now < Group.PositionAskedAt + PositionAnswerTimeout)
+    return false;
+  return Group.Samples.Samples.empty() ||
+         Now >= Group.Samples.Samples.back().SentAt + SampleRefreshAge;
+}
+
+} // namespace
+
+void askForPosition(step_context &Step, const std::string &Name,
+                    group_state &Group) {
+  if (!needsSample(Group, Step.Now))
+    return;
+  const target_view *Primary =
+      findIn(Step.State.Targets, Group.Record->Primary);
+  if (Primary == nullptr)
+    return;
+  const owner_choice Owner = chooseOwner(Step.State, *Primary, Step.Now);
+  if (Owner.Kind != owner_kind::Peer)
+    return;
+  Group.PositionAskedAt = Step.Now;
+  Step.Out.push_back(effects::request_position{Owner.Peer, {Name, Step.Now}});
+}
+
+void superviseSamples(step_context &Step) {
+  for (auto &[Name, Group] : Step.State.Groups)
+    askForPosition(Step, Name, Group);
+}
+
+void noteReplicaRead(step_context &Step, const std::string &Name) {
+  group_state *Group = findIn(Step.State.Groups, Name);
+  if (Group == nullptr)
+    return;
+  Group->ReplicaReadAt = Step.Now;
+  askForPosition(Step, Name, *Group);
+}
+
+void positionRequested(step_context &Step,
+                       const events::position_requested &Event) {
+  const group_state *Group = findIn(Step.State.Groups, Event.Request.Group);
+  if (Group == nullptr || Group->Samples.Samples.empty() ||
+      !mayUsePrimary(Step.State, Event.Request.Group, Step.Now))
+    return;
+  const position_sample &Newest = Group->Samples.Samples.back();
+  Step.Out.push_back(effects::send_position{
+      Event.Link,
+      {Event.Request.Group, Group->Record->Primary, Newest.Position,
+       Step.Now - Newest.SentAt, Event.Request.AskedAt}});
+}
+
+void positionReceived(step_context &Step, const shared_position &Shared) {
+  group_state *Group = findIn(Step.State.Groups, Shared.Group);
+  if (Group == nullptr || !Group->Record || !Group->Record->Open ||
+      Group->Record->Primary != Shared.Primary ||
+      Shared.AskedAt != Group->PositionAskedAt)
+    return;
+  // The clocks of two hosts differ, so that only the age is comparable. It
+  // ended after the request was sent.
+  addSample(Group->Samples, Shared.Position, Shared.AskedAt - Shared.Age);
+  if (target_view *Target = findIn(Step.State.Targets, Shared.Primary))
+    Target->KnownPosition = std::max(Target->KnownPosition, Shared.Position);
+}
+
+} // namespace bronzespar::proxy
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -94,7 +94,9 @@
   Record.DataCentre = State.Identity.DataCentre;
   Record.Leaving = State.Stopping;
   for (const auto &[Name, Group] : State.Groups) {
-    if (Group.Record && !Group.Record->Open && Group.AcknowledgedClosure > 0)
+    // It stays when the record is open again, which saves a write by each host;
+    // a later closure has a higher generation.
+    if (Group.AcknowledgedClosure > 0)
       Record.AcknowledgedClosures[Name] = Group.AcknowledgedClosure;
     if (Group.PrimaryUnreachable && Group.Record)
       Record.UnreachablePrimaries[Name] = Group.Record->Primary;
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -82,6 +82,8 @@
   bool InTransaction = false;
   /// Set only at an owner that runs it for another host: the target to use.
   std::string ForwardedTarget;
+  /// Position that a forwarded statement's session requires.
+  std::optional<log_position> ForwardedPosition;
   instant ArrivedAt{};
   instant Deadline{};
   unsigned Attempts = 0;
@@ -213,6 +215,9 @@
   std::optional<group_record> Record;
   std::uint64_t Revision = 0; ///< Store revision of the record.
   freshness_samples Samples;
+  /// When a read last needed a sample to run on a replica.
+  instant ReplicaReadAt{};
+  instant PositionAskedAt{}; ///< Latest request for the primary's position.
   promotion_state Promotion;
   bool PrimaryUnreachable = false; ///< This host cannot reach the primary.
   witness_state Witness;
--- a/src/serve/peer_links.cpp
+++ b/src/serve/peer_links.cpp
@@ -75,7 +75,7 @@
             Forwarded.Statement.Operand.c_str(), Forwarded.Statement.Writes,
             RequiredPosition, static_cast<std::uint8_t>(Forwarded.Begins),
             Forwarded.InTransaction, Forwarded.NeedsPrimary, Forwarded.Priority,
-            Forwarded.RemainingTime.count());
+            Forwarded.RemainingTime.count(), Forwarded.MaxStaleness.count());
       });
 }
 
@@ -102,6 +102,7 @@
   Forwarded.NeedsPrimary = Ask.must_lead();
   Forwarded.Priority = Ask.priority();
   Forwarded.RemainingTime = duration(Ask.time_left_us());
+  Forwarded.MaxStaleness = duration(Ask.max_staleness_us());
   return Forwarded;
 }
 
@@ -146,6 +147,28 @@
   return Vote;
 }
 
+std::string encodePosition(const proxy::shared_position &Shared) {
+  return encodeFrame(wire::SessionBody_PositionAnswer,
+                     [&](flatbuffers::FlatBufferBuilder &Builder) {
+                       const auto Position =
+                           positionOf(Builder, std::optional(Shared.Position));
+                       return wire::CreatePositionAnswerDirect(
+                           Builder, Shared.Group.c_str(),
+                           Shared.Primary.c_str(), Position, Shared.Age.count(),
+                           Shared.AskedAt.time_since_epoch().count());
+                     });
+}
+
+std::optional<proxy::shared_position>
+decodePosition(const wire::PositionAnswer &Wire) {
+  const auto Position = positionOf(Wire.position());
+  if (!Position)
+    return std::nullopt;
+  return proxy::shared_position{textOf(Wire.group()), textOf(Wire.primary()),
+                                *Position, duration(Wire.age_us()),
+                                instant(duration(Wire.asked_us()))};
+}
+
 std::string encodeAnswer(const proxy::effects::answer_forward &Effect) {
   return encodeFrame(
       wire::SessionBody_ForwardAnswer,
@@ -240,6 +263,13 @@
         proxy::events::vote_requested{Name, decodeVoteRequest(*VoteRequest)});
   } else if (const auto *Vote = Message->body_as_VouchAnswer()) {
     Events(proxy::events::vote_received{decodeVote(*Vote)});
+  } else if (const auto *Position = Message->body_as_PositionAsk()) {
+    Events(proxy::events::position_requested{
+        Name,
+        {textOf(Position->group()), instant(duration(Position->asked_us()))}});
+  } else if (const auto *Shared = Message->body_as_PositionAnswer()) {
+    if (const auto Decoded = decodePosition(*Shared))
+      Events(proxy::events::position_received{*Decoded});
   } else if (const auto *Forward = Message->body_as_ForwardAsk()) {
     if (auto Forwarded = decodeForward(*Forward))
       Events(proxy::events::forward_requested{Name, Forward->ticket(),
@@ -349,6 +379,23 @@
     Found->second->send(encodeVote(Effect.Vote));
 }
 
+void peer_links::carryOut(const proxy::effects::request_position &Effect) {
+  findOrDial(Effect.Owner)
+      .send(
+          encodeFrame(wire::SessionBody_PositionAsk,
+                      [&](flatbuffers::FlatBufferBuilder &Builder) {
+                        return wire::CreatePositionAskDirect(
+                            Builder, Effect.Request.Group.c_str(),
+                            Effect.Request.AskedAt.time_since_epoch().count());
+                      }));
+}
+
+void peer_links::carryOut(const proxy::effects::send_position &Effect) {
+  const auto Found = Sockets.find(Effect.Link);
+  if (Found != Sockets.end())
+    Found->second->send(encodePosition(Effect.Shared));
+}
+
 void peer_links::carryOut(const proxy::effects::forward &Effect) {
   findOrDial(Effect.Owner).send(encodeForward(Effect));
 }
--- a/src/serve/peer_links.hpp
+++ b/src/serve/peer_links.hpp
@@ -37,6 +37,8 @@
   void carryOut(const proxy::effects::grant_tokens &Effect);
   void carryOut(const proxy::effects::request_vote &Effect);
   void carryOut(const proxy::effects::send_vote &Effect);
+  void carryOut(const proxy::effects::request_position &Effect);
+  void carryOut(const proxy::effects::send_position &Effect);
   void carryOut(const proxy::effects::forward &Effect);
   void carryOut(const proxy::effects::end_forward &Effect);
   void carryOut(const proxy::effects::answer_forward &Effect);
--- a/src/serve/session_daemon.cpp
+++ b/src/serve/session_daemon.cpp
@@ -114,6 +114,8 @@
   void carryOut(const effects::drop_peer &E) { Peers.carryOut(E); }
   void carryOut(const effects::request_vote &E) { Peers.carryOut(E); }
   void carryOut(const effects::send_vote &E) { Peers.carryOut(E); }
+  void carryOut(const effects::request_position &E) { Peers.carryOut(E); }
+  void carryOut(const effects::send_position &E) { Peers.carryOut(E); }
   void carryOut(const effects::request_tokens &E) { Peers.carryOut(E); }
   void carryOut(const effects::grant_tokens &E) { Peers.carryOut(E); }
   void carryOut(const effects::set_store_relays &E) {
