Ignore a primary of an earlier term, and count the calls to the store

Cause: when a promotion found another target that called itself primary, its record was opened for it, without a look at the terms. A primary that was replaced twice over says so until it reaches a successor. Hosts that started together found that their watch source had not read the store yet, and watched the store themselves for three seconds.

Change: only a target with the latest term among the answers counts as promoted. A watch source that answers is asked again after 300 ms. Each host counts its calls to the store by kind, on the metrics address and in a log line every 10 s.

Measured: tests of both orders, the first fails on the code before.

--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -269,6 +269,19 @@
   return Best;
 }
 
+/// The replica that became primary by an earlier order. A primary of an earlier
+/// term still calls itself one while it cannot reach its successor.
+std::optional<std::string> promotedReplica(const promotion_state &Promotion,
+                                           const std::string &OldPrimary) {
+  std::uint64_t LatestTerm = 0;
+  for (const auto &[Id, Status] : Promotion.Statuses)
+    LatestTerm = std::max(LatestTerm, Status.Term);
+  for (const auto &[Id, Status] : Promotion.Statuses)
+    if (Id != OldPrimary && Status.IsPrimary && Status.Term == LatestTerm)
+      return Id;
+  return std::nullopt;
+}
+
 void chooseReplica(step_context &Step, const std::string &Name,
                    group_state &Group) {
   promotion_state &Promotion = Group.Promotion;
@@ -280,11 +293,8 @@
   if (Promotion.PendingProbes > 0 && !OnlyOldMissing &&
       Step.Now < Promotion.NextTryAt)
     return;
-  for (const auto &[Id, Status] : Promotion.Statuses) {
-    if (Id == OldPrimary || !Status.IsPrimary)
-      continue;
-    // An earlier order was carried out.
-    openRecord(Step, Name, Group, Id);
+  if (const auto Promoted = promotedReplica(Promotion, OldPrimary)) {
+    openRecord(Step, Name, Group, *Promoted);
     return;
   }
   const auto Old = Promotion.Statuses.find(OldPrimary);
--- a/src/serve/meters.cpp
+++ b/src/serve/meters.cpp
@@ -68,6 +68,9 @@
   for (const auto &[Name, Count] : Meters.Events)
     Out << "bronzespar_events_total{event=\"" << Name << "\"} " << Count
         << '\n';
+  for (const auto &[Kind, Count] : Meters.StoreCalls)
+    Out << "bronzespar_store_calls_total{call=\"" << Kind << "\"} " << Count
+        << '\n';
   writeLatencies(Out, "class", Meters.Latencies);
   writeLatencies(Out, "account", Meters.AccountLatencies);
   return Out.str();
--- a/src/serve/meters.hpp
+++ b/src/serve/meters.hpp
@@ -38,6 +38,8 @@
   std::map<std::string, latency_meter> Latencies;        ///< By route class.
   std::map<std::string, latency_meter> AccountLatencies; ///< By account.
   std::map<std::string_view, std::uint64_t> Events; ///< Log events by name.
+  /// Direct calls to the store, by kind.
+  std::map<std::string, std::uint64_t> StoreCalls;
 };
 
 void countOutcome(meters &Meters,
--- a/src/serve/session_daemon.cpp
+++ b/src/serve/session_daemon.cpp
@@ -56,6 +56,7 @@
             Io, Settings.Readiness,
             [this](const std::string &Path) { return answerReadiness(Path); }),
         Metrics(Io, Settings.Metrics, [this](const std::string &) {
+          Meters.StoreCalls = Gateway.callCounts();
           return text_answer{StatusReady, formatMeters(Meters)};
         }) {
     Log.Host = Settings.Identity.Name;
@@ -149,6 +150,7 @@
       post(proxy::events::tick{});
       Callers.closeUnstarted(bootNow());
       Gateway.checkIsolation(bootNow());
+      Gateway.reportCalls(bootNow());
       Peers.expireRelays(bootNow());
       Store.answerOverduePeers();
       flushLines(Log);
--- a/src/serve/store_gateway.cpp
+++ b/src/serve/store_gateway.cpp
@@ -5,14 +5,21 @@
 
 #include <boost/asio/post.hpp>
 
+#include <cctype>
 #include <utility>
 
 namespace bronzespar::serve {
 
 namespace {
 
-/// A watch source that failed is not called again before this has passed.
+/// A watch source that did not answer is not called again before this has
+/// passed.
 constexpr duration WatchSourceRetryDelay = std::chrono::seconds(3);
+/// The same for one that answered that it has not read the store yet. When many
+/// hosts start together, all would otherwise watch the store for seconds.
+constexpr duration WatchSourceStartDelay = std::chrono::milliseconds(300);
+/// Time between two log lines with the number of calls to the store.
+constexpr duration CallReportInterval = std::chrono::seconds(10);
 /// A watch source answers each watch within PeerWatchTimeout. One that takes
 /// longer than this is unreachable or slow.
 constexpr duration WatchSourceTimeout =
@@ -26,6 +33,16 @@
          Answer.Status != StatusUnavailable;
 }
 
+/// The path of a call without its query and without the id of a lease.
+std::string callKind(const std::string &Path) {
+  const std::string Whole = Path.substr(0, Path.find('?'));
+  const std::size_t LastSlash = Whole.rfind('/');
+  const bool HasId =
+      LastSlash != std::string::npos && LastSlash + 1 < Whole.size() &&
+      std::isdigit(static_cast<unsigned char>(Whole[LastSlash + 1])) != 0;
+  return HasId ? Whole.substr(0, LastSlash) : Whole;
+}
+
 proxy::call_result callResultOf(bool Waits,
                                 const platform::http_answer &Answer) {
   if (Answer.Status != StatusNone)
@@ -85,12 +102,14 @@
 void store_gateway::callWatchSource(platform::http_call Call,
                                     platform::http_callback Done) {
   Call.Timeout = WatchSourceTimeout;
-  RelayLinks.relay(*WatchSource, Call,
-                   [this, Done = std::move(Done)](relay_answer Answer) {
-                     if (!isServed(Answer.Answer))
-                       WatchSourceRetryAt = bootNow() + WatchSourceRetryDelay;
-                     Done(std::move(Answer.Answer));
-                   });
+  RelayLinks.relay(
+      *WatchSource, Call, [this, Done = std::move(Done)](relay_answer Answer) {
+        if (!isServed(Answer.Answer))
+          WatchSourceRetryAt =
+              bootNow() + (Answer.PeerAnswered ? WatchSourceStartDelay
+                                               : WatchSourceRetryDelay);
+        Done(std::move(Answer.Answer));
+      });
 }
 
 void store_gateway::callDirectly(platform::http_link &Link,
@@ -98,6 +117,7 @@
                                  platform::http_callback Done) {
   sent_call Sent{Call.Path.substr(0, Call.Path.find('?')), Call.IsLongPoll,
                  bootNow()};
+  CallCounts[callKind(Call.Path)] += 1;
   Link.call(std::move(Call),
             [this, Sent = std::move(Sent),
              Done = std::move(Done)](const platform::http_answer &Answer) {
@@ -157,6 +177,16 @@
   });
 }
 
+void store_gateway::reportCalls(instant Now) {
+  if (Now < NextCallReportAt)
+    return;
+  NextCallReportAt = Now + CallReportInterval;
+  std::vector<proxy::effects::log_field> Fields;
+  for (const auto &[Kind, Count] : CallCounts)
+    Fields.push_back({Kind, std::to_string(Count)});
+  Log("store.calls", std::move(Fields));
+}
+
 void store_gateway::checkIsolation(instant Now) {
   const bool IsIsolated = proxy::isIsolated(AccessState, Now);
   if (IsIsolated == Isolated)
--- a/src/serve/store_gateway.hpp
+++ b/src/serve/store_gateway.hpp
@@ -8,6 +8,7 @@
 #include <platform/http_link.hpp>
 #include <platform/store_client.hpp>
 
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -43,6 +44,14 @@
   void relayFor(platform::http_call Call, relay_callback Done);
   /// \brief Sends an event when the host becomes isolated or ceases to be.
   void checkIsolation(instant Now);
+  /// \brief Logs now and then how many calls to the store this host made, by
+  /// kind.
+  void reportCalls(instant Now);
+  /// \brief Direct calls to the store since the start, by kind.
+  [[nodiscard]] const std::map<std::string, std::uint64_t> &
+  callCounts() const noexcept {
+    return CallCounts;
+  }
 
 private:
   struct sent_call {
@@ -75,6 +84,8 @@
   std::vector<std::shared_ptr<platform::http_link>>
       StoreLinks; ///< Of all channels.
   bool Isolated = false;
+  std::map<std::string, std::uint64_t> CallCounts; ///< Direct ones, by kind.
+  instant NextCallReportAt{};
 };
 
 } // namespace bronzespar::serve
--- a/tests/proxy/promotion_tests.cpp
+++ b/tests/proxy/promotion_tests.cpp
@@ -15,6 +15,42 @@
   return false;
 }
 
+/// Takes a promotion to the choice of a replica, and answers the requests for
+/// the targets' status.
+void answerProbes(host_driver &Driver,
+                  const std::map<std::string, target_status> &Statuses) {
+  reportUnreachable(Driver, "host-2", "a");
+  Driver.advanceTime(40ms);
+  storeGroupRecords(Driver);
+  host_record Own;
+  Own.PeerEndpoint = {"10.0.0.1", 7560};
+  Own.AcknowledgedClosures[Group] = 2;
+  for (const auto &Read : Driver.takeEffects<effects::read_records>())
+    Driver.send(events::records_read{
+        Read.Call,
+        Read.Prefix,
+        {{"hosts/host-1", formatRecord(Own), ++Driver.Revision, 7}},
+        true,
+        ++Driver.Revision});
+  Driver.advanceTime(20ms);
+  Driver.grantLease(7);
+  for (const auto &Probe : Driver.takeEffects<effects::probe_target>())
+    if (const auto Found = Statuses.find(Probe.Target); Found != Statuses.end())
+      Driver.send(events::target_probed{Probe.Target, Found->second});
+}
+
+/// The primary of the record that the coordinator opens, if it does.
+std::optional<std::string> openedPrimary(host_driver &Driver) {
+  Driver.advanceTime(40ms);
+  for (const auto &Change : Driver.takeEffects<effects::change_records>())
+    for (const auto &Write : Change.Writes)
+      if (Write.Key.starts_with(GroupsPrefix))
+        if (const auto Record = parseGroupRecord(Write.Value);
+            Record && Record->Open)
+          return Record->Primary;
+  return std::nullopt;
+}
+
 /// Whether a change of primary began. A replacement of electors, which also
 /// closes the record, does not count.
 bool beginsPromotion(host_driver &Driver) {
@@ -86,3 +122,19 @@
   Driver.advanceTime(1000ms);
   CHECK(Driver.takeEffects<effects::revoke_lease>().empty());
 }
+
+TEST_CASE("A primary of an earlier term is not taken for a promoted replica") {
+  // It was replaced before the present primary, and calls itself primary until
+  // it has reached a successor.
+  host_driver Driver;
+  becomeCoordinator(Driver);
+  answerProbes(Driver, {{"b", {true, {1, 90}, 1}}, {"c", {false, {2, 3}, 2}}});
+  CHECK_FALSE(openedPrimary(Driver));
+}
+
+TEST_CASE("A replica that an earlier order promoted is used") {
+  host_driver Driver;
+  becomeCoordinator(Driver);
+  answerProbes(Driver, {{"b", {false, {1, 90}, 1}}, {"c", {true, {2, 3}, 2}}});
+  CHECK(openedPrimary(Driver) == "c");
+}
