Ask less of the store: later renewals, two watch sources, one claim at a start

Hosts whose watch source was slow watched the store for three seconds although the data centre has a second source. All hosts claimed the coordinator's role at the start.

Change: a lease is renewed after 0.375 of its length (0.25 before); a host asks the second watch source before the store; a first claim waits for the host's place in the list.

Ruled out: one watch with an empty prefix. Entries of targets change fifty times a second, so it would return at once each time.

--- a/include/bronzespar/proxy/interface.hpp
+++ b/include/bronzespar/proxy/interface.hpp
@@ -388,10 +388,10 @@
 struct set_store_relays {
   std::vector<endpoint> Relays;
 };
-/// \brief The host whose watches of the store this host shares; empty if it
-/// watches the store itself.
-struct set_watch_source {
-  std::optional<endpoint> Source;
+/// \brief The hosts whose watches of the store this host shares, in order of
+/// preference; empty if it watches the store itself.
+struct set_watch_sources {
+  std::vector<endpoint> Sources;
 };
 struct set_ready {
   bool Ready = false;
@@ -427,9 +427,9 @@
     effects::end_forward, effects::drop_peer, effects::answer_forward,
     effects::report_pending, effects::request_vote, effects::send_vote,
     effects::request_position, effects::send_position, effects::request_tokens,
-    effects::grant_tokens, effects::set_store_relays, effects::set_watch_source,
-    effects::set_ready, effects::write_log, effects::record_outcome,
-    effects::stop_process>;
+    effects::grant_tokens, effects::set_store_relays,
+    effects::set_watch_sources, effects::set_ready, effects::write_log,
+    effects::record_outcome, effects::stop_process>;
 using effect_list = std::vector<effect>;
 
 } // namespace bronzespar::proxy
--- a/src/proxy/coordinator.cpp
+++ b/src/proxy/coordinator.cpp
@@ -50,6 +50,9 @@
       Role.NextClaimAt = Step.Now + claimDelay(State);
     return;
   }
+  // Hosts that start together would all claim the role at once.
+  if (Role.NextClaimAt == instant{})
+    Role.NextClaimAt = Step.Now + claimDelay(State);
   if (Step.Now < Role.NextClaimAt)
     return;
   Role.ClaimCall = nextNumber(State);
--- a/src/proxy/host_list.cpp
+++ b/src/proxy/host_list.cpp
@@ -28,9 +28,9 @@
 /// In a large fleet, few hosts of each data centre watch the store and the
 /// others share their watches, so that the load on the store does not grow with
 /// the fleet.
-std::optional<endpoint> watchSourceFor(const host &State) {
+std::vector<endpoint> watchSourcesFor(const host &State) {
   if (State.Hosts.size() <= MaxDirectWatchers)
-    return std::nullopt;
+    return {};
   std::vector<host_id> SameDataCentre;
   for (const auto &[Name, Peer] : State.Hosts)
     if (Peer.Record.DataCentre == State.Identity.DataCentre &&
@@ -40,11 +40,12 @@
       rendezvousTop("reader", std::move(SameDataCentre), WatchersPerDataCentre);
   const host_id Own(State.Identity.Name);
   if (std::find(Watchers.begin(), Watchers.end(), Own) != Watchers.end())
-    return std::nullopt;
-  const auto Chosen = rendezvous("reader of " + Own.Value, Watchers);
-  return Chosen
-             ? std::optional(State.Hosts.at(Chosen->Value).Record.PeerEndpoint)
-             : std::nullopt;
+    return {};
+  std::vector<endpoint> Sources;
+  for (const host_id &Host :
+       rendezvousTop("reader of " + Own.Value, Watchers, Watchers.size()))
+    Sources.push_back(State.Hosts.at(Host.Value).Record.PeerEndpoint);
+  return Sources;
 }
 
 /// Tells the adapters which hosts may relay calls: those of other data centres,
@@ -63,7 +64,7 @@
   Step.Out.push_back(OtherDataCentres.Relays.empty()
                          ? std::move(SameDataCentre)
                          : std::move(OtherDataCentres));
-  Step.Out.push_back(effects::set_watch_source{watchSourceFor(Step.State)});
+  Step.Out.push_back(effects::set_watch_sources{watchSourcesFor(Step.State)});
 }
 
 /// Highest revision up to which this host knows what became of a host's record.
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -18,8 +18,9 @@
 /// A shorter lease costs more calls. A longer one delays a promotion while a
 /// host is partitioned.
 constexpr duration LeaseLength = std::chrono::milliseconds(1600);
-/// Two renewals of a lease may be lost.
-constexpr int RenewalsPerLease = 4;
+/// Part of a lease after which it is renewed. One renewal may be lost and
+/// repeated before the lease ends, or before electors have to be asked.
+constexpr double RenewAfterPart = 0.375;
 /// Delay after a call to the store that failed; it doubles with each failure in
 /// a row, as the store counts calls that it refuses as well.
 constexpr duration MinStoreRetryDelay = std::chrono::milliseconds(60);
@@ -248,7 +249,8 @@
       Lease.ValidUntil, Event.SentAt + withSafetyMargin(Lease.TimeToLive));
   if (!Lease.RegisteredValue.empty())
     Step.State.Votes.LastRenewalSentAt = Event.SentAt;
-  Lease.NextCallAt = Event.SentAt + Lease.TimeToLive / RenewalsPerLease;
+  Lease.NextCallAt = Event.SentAt + std::chrono::duration_cast<duration>(
+                                        Lease.TimeToLive * RenewAfterPart);
 }
 
 void recordChanged(step_context &Step, const store_record &Record) {
--- a/src/serve/session_daemon.cpp
+++ b/src/serve/session_daemon.cpp
@@ -122,8 +122,8 @@
   void carryOut(const effects::set_store_relays &E) {
     Gateway.setRelays(E.Relays);
   }
-  void carryOut(const effects::set_watch_source &E) {
-    Gateway.setWatchSource(E.Source);
+  void carryOut(const effects::set_watch_sources &E) {
+    Gateway.setWatchSources(E.Sources);
   }
   void carryOut(const effects::set_ready &E) { Ready = E.Ready; }
   void carryOut(const effects::write_log &E) {
--- a/src/serve/store_gateway.cpp
+++ b/src/serve/store_gateway.cpp
@@ -87,8 +87,10 @@
 
 void store_gateway::call(platform::http_link &Link, platform::http_call Call,
                          platform::http_callback Done) {
-  if (Call.IsLongPoll && WatchSource && bootNow() >= WatchSourceRetryAt) {
-    callWatchSource(std::move(Call), std::move(Done));
+  const auto Source =
+      Call.IsLongPoll ? usableWatchSource() : std::optional<endpoint>();
+  if (Source) {
+    callWatchSource(*Source, std::move(Call), std::move(Done));
     return;
   }
   const auto Access = proxy::chooseStoreAccess(AccessState, !RelayPeers.empty(),
@@ -99,17 +101,30 @@
     callDirectly(Link, std::move(Call), std::move(Done));
 }
 
-void store_gateway::callWatchSource(platform::http_call Call,
+std::optional<endpoint> store_gateway::usableWatchSource() const {
+  for (const endpoint &Source : WatchSources) {
+    const auto RetryAt = WatchSourceRetryAt.find(Source);
+    if (RetryAt == WatchSourceRetryAt.end() || bootNow() >= RetryAt->second)
+      return Source;
+  }
+  return std::nullopt;
+}
+
+void store_gateway::callWatchSource(const endpoint &Source,
+                                    platform::http_call Call,
                                     platform::http_callback Done) {
   Call.Timeout = WatchSourceTimeout;
-  RelayLinks.relay(
-      *WatchSource, Call, [this, Done = std::move(Done)](relay_answer Answer) {
-        if (!isServed(Answer.Answer))
-          WatchSourceRetryAt =
-              bootNow() + (Answer.PeerAnswered ? WatchSourceStartDelay
-                                               : WatchSourceRetryDelay);
-        Done(std::move(Answer.Answer));
-      });
+  RelayLinks.relay(Source, Call,
+                   [this, Source, Done = std::move(Done)](relay_answer Answer) {
+                     if (isServed(Answer.Answer))
+                       WatchSourceRetryAt.erase(Source);
+                     else
+                       WatchSourceRetryAt[Source] =
+                           bootNow() + (Answer.PeerAnswered
+                                            ? WatchSourceStartDelay
+                                            : WatchSourceRetryDelay);
+                     Done(std::move(Answer.Answer));
+                   });
 }
 
 void store_gateway::callDirectly(platform::http_link &Link,
--- a/src/serve/store_gateway.hpp
+++ b/src/serve/store_gateway.hpp
@@ -37,8 +37,8 @@
   void setRelays(std::vector<endpoint> Relays) {
     RelayPeers = std::move(Relays);
   }
-  void setWatchSource(std::optional<endpoint> Source) {
-    WatchSource = std::move(Source);
+  void setWatchSources(std::vector<endpoint> Sources) {
+    WatchSources = std::move(Sources);
   }
   /// \brief Makes a call for a peer, unless this host's direct calls fail too.
   void relayFor(platform::http_call Call, relay_callback Done);
@@ -64,7 +64,10 @@
             platform::http_callback Done);
   void callDirectly(platform::http_link &Link, platform::http_call Call,
                     platform::http_callback Done);
-  void callWatchSource(platform::http_call Call, platform::http_callback Done);
+  /// The first watch source that has not failed a moment ago.
+  [[nodiscard]] std::optional<endpoint> usableWatchSource() const;
+  void callWatchSource(const endpoint &Source, platform::http_call Call,
+                       platform::http_callback Done);
   void callThroughPeer(const platform::http_call &Call,
                        platform::http_callback Done);
   void recordDirectResult(const sent_call &Call,
@@ -78,8 +81,9 @@
   log_function Log;
   proxy::store_access_state AccessState;
   std::vector<endpoint> RelayPeers;
-  std::optional<endpoint> WatchSource;
-  instant WatchSourceRetryAt{}; ///< Earliest call after a failure.
+  std::vector<endpoint> WatchSources; ///< In order of preference.
+  /// Earliest call to a watch source that failed.
+  std::map<endpoint, instant> WatchSourceRetryAt;
   watch_server WatchServer;
   std::vector<std::shared_ptr<platform::http_link>>
       StoreLinks; ///< Of all channels.
