Restart watches when the store answers again, and rank hosts in one pass

Change: when direct calls work again, long polls that were sent before end and are sent anew. rendezvousTop hashes each candidate once and sorts.

Ruled out: a slow watch source. In the log the host's own direct watch is late.

--- a/include/bronzespar/membership.hpp
+++ b/include/bronzespar/membership.hpp
@@ -135,7 +135,7 @@
 /// \brief Chooses the Count hosts with the highest hashes, highest first, or
 /// all candidates if there are fewer.
 [[nodiscard]] std::vector<host_id>
-rendezvousTop(std::string_view Duty, std::vector<host_id> Candidates,
+rendezvousTop(std::string_view Duty, const std::vector<host_id> &Candidates,
               std::size_t Count);
 
 /// \brief Host that holds the connection pool of a target: one in the target's
--- a/src/membership/duties.cpp
+++ b/src/membership/duties.cpp
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <numeric>
 #include <string>
 
 namespace bronzespar {
@@ -13,11 +14,20 @@
 /// Makes the hash inputs of ("a", "bc") and ("ab", "c") differ.
 constexpr char Separator = '\0';
 
-std::uint64_t weightOf(std::string_view Duty, const host_id &Host) {
+/// Weights of a duty's candidates; larger is better.
+std::vector<std::uint64_t> weightsOf(std::string_view Duty,
+                                     const std::vector<host_id> &Candidates) {
   std::string Text(Duty);
   Text += Separator;
-  Text += Host.Value;
-  return XXH3_64bits(Text.data(), Text.size());
+  const std::size_t PrefixSize = Text.size();
+  std::vector<std::uint64_t> Weights;
+  Weights.reserve(Candidates.size());
+  for (const host_id &Candidate : Candidates) {
+    Text.resize(PrefixSize);
+    Text += Candidate.Value;
+    Weights.push_back(XXH3_64bits(Text.data(), Text.size()));
+  }
+  return Weights;
 }
 
 bool mayHoldDuty(const peer_view &Peer) {
@@ -58,33 +68,30 @@
 
 std::optional<host_id> rendezvous(std::string_view Duty,
                                   const std::vector<host_id> &Candidates) {
-  const host_id *Best = nullptr;
-  std::uint64_t BestWeight = 0;
-  for (const host_id &Candidate : Candidates) {
-    const std::uint64_t Weight = weightOf(Duty, Candidate);
-    const bool HasPriority = Best == nullptr || Weight > BestWeight ||
-                             (Weight == BestWeight && Candidate < *Best);
-    if (!HasPriority)
-      continue;
-    Best = &Candidate;
-    BestWeight = Weight;
-  }
-  if (Best == nullptr)
+  auto Best = rendezvousTop(Duty, Candidates, 1);
+  if (Best.empty())
     return std::nullopt;
-  return *Best;
+  return std::move(Best.front());
 }
 
 std::vector<host_id> rendezvousTop(std::string_view Duty,
-                                   std::vector<host_id> Candidates,
+                                   const std::vector<host_id> &Candidates,
                                    std::size_t Count) {
+  const std::vector<std::uint64_t> Weights = weightsOf(Duty, Candidates);
+  std::vector<std::size_t> Order(Candidates.size());
+  std::iota(Order.begin(), Order.end(), std::size_t{0});
+  const std::size_t Wanted = std::min(Count, Order.size());
+  std::partial_sort(Order.begin(),
+                    Order.begin() + static_cast<std::ptrdiff_t>(Wanted),
+                    Order.end(), [&](std::size_t Left, std::size_t Right) {
+                      if (Weights[Left] != Weights[Right])
+                        return Weights[Left] > Weights[Right];
+                      return Candidates[Left] < Candidates[Right];
+                    });
   std::vector<host_id> Chosen;
-  while (Chosen.size() < Count) {
-    const auto Next = rendezvous(Duty, Candidates);
-    if (!Next)
-      break;
-    Chosen.push_back(*Next);
-    std::erase(Candidates, *Next);
-  }
+  Chosen.reserve(Wanted);
+  for (std::size_t Place = 0; Place < Wanted; ++Place)
+    Chosen.push_back(Candidates[Order[Place]]);
   return Chosen;
 }
 
--- a/src/proxy/allowance.cpp
+++ b/src/proxy/allowance.cpp
@@ -43,6 +43,30 @@
   Allowance.DemandSince = Now;
 }
 
+std::vector<host_id> toIds(const std::vector<std::string> &Names) {
+  std::vector<host_id> Ids;
+  Ids.reserve(Names.size());
+  for (const std::string &Name : Names)
+    Ids.emplace_back(Name);
+  return Ids;
+}
+
+std::vector<std::string>
+chooseRefillingHosts(const client_account &Account,
+                     const std::vector<host_id> &Hosts) {
+  const auto HostCount =
+      static_cast<std::size_t>(std::max(Account.Burst / MinBurstPerHost, 1.0));
+  const std::vector<host_id> Chosen =
+      HostCount >= Hosts.size()
+          ? Hosts
+          : rendezvousTop("rate/" + Account.Name, Hosts, HostCount);
+  std::vector<std::string> Names;
+  Names.reserve(Chosen.size());
+  for (const host_id &Host : Chosen)
+    Names.push_back(Host.Value);
+  return Names;
+}
+
 void dropExpiredTokens(account_allowance &Allowance, instant Now) {
   if (Now > Allowance.ReceivedAt + ReceivedTokenLifetime)
     Allowance.ReceivedTokens = 0;
@@ -53,30 +77,18 @@
 std::vector<std::string>
 refillingHostsFor(const client_account &Account,
                   const std::vector<std::string> &Hosts) {
-  const auto HostCount =
-      static_cast<std::size_t>(std::max(Account.Burst / MinBurstPerHost, 1.0));
-  if (HostCount >= Hosts.size())
-    return Hosts;
-  std::vector<host_id> Candidates;
-  Candidates.reserve(Hosts.size());
-  for (const std::string &Host : Hosts)
-    Candidates.emplace_back(Host);
-  std::vector<std::string> RefillingHosts;
-  RefillingHosts.reserve(HostCount);
-  for (const host_id &Host :
-       rendezvousTop("rate/" + Account.Name, std::move(Candidates), HostCount))
-    RefillingHosts.push_back(Host.Value);
-  return RefillingHosts;
+  return chooseRefillingHosts(Account, toIds(Hosts));
 }
 
 void divideRates(allowance_table &Table, const proxy_settings &Settings,
                  const std::vector<std::string> &Hosts,
                  const std::string &OwnName, instant Now) {
+  const std::vector<host_id> Ids = toIds(Hosts);
   for (const auto &[Name, Account] : Settings.Accounts) {
     const auto [Found, IsNew] = Table.Accounts.try_emplace(Name);
     if (IsNew)
       Found->second.Bucket.RefilledAt = Now;
-    Found->second.RefillingHosts = refillingHostsFor(Account, Hosts);
+    Found->second.RefillingHosts = chooseRefillingHosts(Account, Ids);
     const auto &RefillingHosts = Found->second.RefillingHosts;
     const bool Refills =
         Hosts.empty() || std::find(RefillingHosts.begin(), RefillingHosts.end(),
--- a/src/proxy/owners.cpp
+++ b/src/proxy/owners.cpp
@@ -45,23 +45,21 @@
 /// Orders the candidates for a target by rendezvous hashing and moves a host
 /// that owns fewer than MaxTargets to the front.
 std::vector<std::string> rankOwners(const std::string &Target,
-                                    std::vector<host_id> Candidates,
+                                    const std::vector<host_id> &Candidates,
                                     std::map<std::string, std::size_t> &Owned,
                                     std::size_t MaxTargets) {
-  const std::size_t Count = Candidates.size();
-  std::vector<std::string> Names;
-  Names.reserve(Count);
-  for (const host_id &Host :
-       rendezvousTop("connections/" + Target, std::move(Candidates), Count))
-    Names.push_back(Host.Value);
+  std::vector<host_id> Ranked =
+      rendezvousTop("connections/" + Target, Candidates, Candidates.size());
   const auto First =
-      std::find_if(Names.begin(), Names.end(), [&](const std::string &Name) {
-        return Owned[Name] < MaxTargets;
+      std::find_if(Ranked.begin(), Ranked.end(), [&](const host_id &Host) {
+        return Owned[Host.Value] < MaxTargets;
       });
-  if (First != Names.end())
-    std::rotate(Names.begin(), First, std::next(First));
-  if (Names.size() > MaxOwners)
-    Names.resize(MaxOwners);
+  if (First != Ranked.end())
+    std::rotate(Ranked.begin(), First, std::next(First));
+  std::vector<std::string> Names;
+  for (const host_id &Host : Ranked)
+    if (Names.size() < MaxOwners)
+      Names.push_back(Host.Value);
   if (!Names.empty())
     Owned[Names.front()] += 1;
   return Names;
--- a/src/serve/store_gateway.cpp
+++ b/src/serve/store_gateway.cpp
@@ -155,7 +155,10 @@
        {"status", std::to_string(Answer.Status)},
        {"ms",
         std::to_string(static_cast<int>(toMilliseconds(Now - Call.SentAt)))}});
-  if (AccessState.DirectFailed && !RelayPeers.empty())
+  // Long polls that wait on a connection of before would not be answered: in an
+  // outage they wait for the store, and afterwards for their own timeout, in
+  // which settings would stay outdated for seconds.
+  if (!AccessState.DirectFailed || !RelayPeers.empty())
     for (const auto &Link : StoreLinks)
       Link->cancelLongPoll();
 }
