--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -44,6 +44,7 @@
 
 // Placement of queued requests on targets (placement.cpp).
 void placeWaiting(step_context &Step);
+// Positions of primaries (positions.cpp).
 /// \brief Position that a replica must cover to answer a request's read, or
 /// nothing while no recent position of the primary is known.
 /// \remarks Only for reads that mayReadReplica allows.
@@ -53,8 +54,10 @@
 /// \brief Whether a replica may answer a request's read, if it is fresh enough.
 [[nodiscard]] bool mayReadReplica(const host &State,
                                   const target_request &Request, instant Now);
-
-// Positions of primaries (positions.cpp).
+/// \brief Position of the session's own last commit, if its reads must cover
+/// it.
+[[nodiscard]] std::optional<log_position>
+sessionPosition(const host &State, const target_request &Request);
 void superviseSamples(step_context &Step);
 /// \brief Notes that a read needs a position of the group's primary.
 void noteReplicaRead(step_context &Step, const std::string &Name);
@@ -62,7 +65,7 @@
                        const events::position_requested &Event);
 void positionReceived(step_context &Step, const shared_position &Shared);
 
-// Connection owners (owners.cpp).
+// Connection owners (owner_table.cpp, owners.cpp).
 /// \brief Whether one host owns all connections to each target of a group,
 /// because the targets allow too few for every host and account.
 [[nodiscard]] bool areConnectionsOwned(const host &State,
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -23,11 +23,6 @@
 /// statements that need them.
 constexpr double PrimaryPenaltyFactor = 1.6;
 constexpr double PrimaryPenaltyMs = 4;
-/// A route's staleness bound is reduced by this, because a read may wait that
-/// long in a target's queue.
-constexpr duration StalenessMargin = std::chrono::milliseconds(300);
-/// Replicas serve a session's reads only this long after its last write.
-constexpr duration OwnWriteReplicationDelay = std::chrono::milliseconds(400);
 /// A request without a token waits this long for a transfer from another host.
 constexpr duration TokenWaitTimeout = std::chrono::milliseconds(20);
 /// A failover usually takes this long.
@@ -135,18 +130,6 @@
       }));
 }
 
-/// Position of the session's own last commit, if its reads must cover it.
-std::optional<log_position> sessionPosition(const host &State,
-                                            const target_request &Request) {
-  if (!Request.ForwardedTarget.empty())
-    return Request.ForwardedPosition;
-  const auto Session = State.Sessions.find(Request.Session);
-  if (Session == State.Sessions.end() ||
-      Request.Route.Consistency != read_consistency::ReadYourWrites)
-    return std::nullopt;
-  return Session->second.LastCommitPosition;
-}
-
 struct candidate {
   target_view *Target = nullptr;
   bool OnReplica = false; ///< Used without the right to use a primary.
@@ -461,32 +444,6 @@
   return Best;
 }
 
-bool mayReadReplica(const host &State, const target_request &Request,
-                    instant Now) {
-  if (Request.NeedsPrimary ||
-      Request.Route.Consistency == read_consistency::Primary)
-    return false;
-  const auto Session = State.Sessions.find(Request.Session);
-  return Request.Route.Consistency == read_consistency::BoundedStaleness ||
-         Session == State.Sessions.end() ||
-         !Session->second.LastCommitPosition ||
-         Now >= Session->second.LastCommitAt + OwnWriteReplicationDelay;
-}
-
-std::optional<log_position> requiredReadPosition(const host &State,
-                                                 const target_request &Request,
-                                                 instant Now) {
-  const auto Group = State.Groups.find(Request.Route.Group);
-  if (Group == State.Groups.end())
-    return std::nullopt;
-  const auto Sample = positionForAge(
-      Group->second.Samples, Now, Request.Route.MaxStaleness - StalenessMargin);
-  if (!Sample)
-    return std::nullopt;
-  const auto Own = sessionPosition(State, Request);
-  return Own ? std::max(Sample->Position, *Own) : Sample->Position;
-}
-
 void placeWaiting(step_context &Step) {
   host &State = Step.State;
   if (State.Waiting.Items.empty() || !State.Settings)
--- a/src/proxy/positions.cpp
+++ b/src/proxy/positions.cpp
@@ -21,6 +21,12 @@
 /// Positions are asked for until this long after the last read that needs them.
 constexpr duration ReplicaDemandPeriod = std::chrono::milliseconds(3000);
 
+/// A route's staleness bound is reduced by this, because a read may wait that
+/// long in a target's queue.
+constexpr duration StalenessMargin = std::chrono::milliseconds(300);
+/// Replicas serve a session's reads only this long after its last write.
+constexpr duration OwnWriteReplicationDelay = std::chrono::milliseconds(400);
+
 bool needsSample(const group_state &Group, instant Now) {
   if (!Group.Record || !Group.Record->Open ||
       Group.ReplicaReadAt == instant{} ||
@@ -31,8 +37,6 @@
          Now >= Group.Samples.Samples.back().SentAt + SampleRefreshAge;
 }
 
-} // namespace
-
 void askForPosition(step_context &Step, const std::string &Name,
                     group_state &Group) {
   if (!needsSample(Group, Step.Now))
@@ -48,6 +52,8 @@
   Step.Out.push_back(effects::request_position{Owner.Peer, {Name, Step.Now}});
 }
 
+} // namespace
+
 void superviseSamples(step_context &Step) {
   for (auto &[Name, Group] : Step.State.Groups)
     askForPosition(Step, Name, Group);
@@ -87,4 +93,42 @@
     Target->KnownPosition = std::max(Target->KnownPosition, Shared.Position);
 }
 
+/// Position of the session's own last commit, if its reads must cover it.
+std::optional<log_position> sessionPosition(const host &State,
+                                            const target_request &Request) {
+  if (!Request.ForwardedTarget.empty())
+    return Request.ForwardedPosition;
+  const auto Session = State.Sessions.find(Request.Session);
+  if (Session == State.Sessions.end() ||
+      Request.Route.Consistency != read_consistency::ReadYourWrites)
+    return std::nullopt;
+  return Session->second.LastCommitPosition;
+}
+
+bool mayReadReplica(const host &State, const target_request &Request,
+                    instant Now) {
+  if (Request.NeedsPrimary ||
+      Request.Route.Consistency == read_consistency::Primary)
+    return false;
+  const auto Session = State.Sessions.find(Request.Session);
+  return Request.Route.Consistency == read_consistency::BoundedStaleness ||
+         Session == State.Sessions.end() ||
+         !Session->second.LastCommitPosition ||
+         Now >= Session->second.LastCommitAt + OwnWriteReplicationDelay;
+}
+
+std::optional<log_position> requiredReadPosition(const host &State,
+                                                 const target_request &Request,
+                                                 instant Now) {
+  const auto Group = State.Groups.find(Request.Route.Group);
+  if (Group == State.Groups.end())
+    return std::nullopt;
+  const auto Sample = positionForAge(
+      Group->second.Samples, Now, Request.Route.MaxStaleness - StalenessMargin);
+  if (!Sample)
+    return std::nullopt;
+  const auto Own = sessionPosition(State, Request);
+  return Own ? std::max(Sample->Position, *Own) : Sample->Position;
+}
+
 } // namespace bronzespar::proxy
--- a/src/serve/peer_links.cpp
+++ b/src/serve/peer_links.cpp
@@ -206,9 +206,11 @@
 };
 
 peer_links::peer_links(boost::asio::io_context &Context, const endpoint &Where,
-                       event_sink Sink, relay_handler Handler)
+                       event_sink Sink, relay_handler Handler,
+                       invalid_frame_handler OnInvalidFrame)
     : Io(Context), Acceptor(Context, toAsio(Where), true),
-      Events(std::move(Sink)), RelayHandler(std::move(Handler)) {}
+      Events(std::move(Sink)), RelayHandler(std::move(Handler)),
+      InvalidFrame(std::move(OnInvalidFrame)) {}
 
 peer_links::~peer_links() = default;
 
@@ -249,8 +251,11 @@
                               const std::string &Frame) {
   const auto *Bytes = reinterpret_cast<const std::uint8_t *>(Frame.data());
   flatbuffers::Verifier Verifier(Bytes, Frame.size());
-  if (!wire::VerifySessionFrameBuffer(Verifier))
+  if (!wire::VerifySessionFrameBuffer(Verifier)) {
+    InvalidFrame(Name, Frame.size());
+    closeLink(Name);
     return;
+  }
   const auto *Message = wire::GetSessionFrame(Bytes);
   if (const auto *Ask = Message->body_as_TokenAsk()) {
     Events(proxy::events::tokens_requested{
@@ -426,8 +431,7 @@
                     }));
 }
 
-void peer_links::carryOut(const proxy::effects::drop_peer &Effect) {
-  const std::string Name = toText(Effect.Peer);
+void peer_links::closeLink(const std::string &Name) {
   const auto Found = Sockets.find(Name);
   if (Found == Sockets.end())
     return;
@@ -435,6 +439,10 @@
   connectionEnded(Name);
 }
 
+void peer_links::carryOut(const proxy::effects::drop_peer &Effect) {
+  closeLink(toText(Effect.Peer));
+}
+
 void peer_links::carryOut(const proxy::effects::request_tokens &Effect) {
   findOrDial(Effect.Peer)
       .send(encodeFrame(wire::SessionBody_TokenAsk,
--- a/src/serve/peer_links.hpp
+++ b/src/serve/peer_links.hpp
@@ -22,12 +22,17 @@
 using relay_callback = std::function<void(relay_answer)>;
 /// Makes a call on a peer's behalf; answers through the callback.
 using relay_handler = std::function<void(platform::http_call, relay_callback)>;
+/// \brief Called with the name of a connection and the size of a frame on it
+/// that is not valid, before the connection is closed.
+using invalid_frame_handler =
+    std::function<void(const std::string &Link, std::size_t Bytes)>;
 
 /// \brief Keeps the connections to peers and translates frames to events.
 class peer_links {
 public:
   peer_links(boost::asio::io_context &Context, const endpoint &Where,
-             event_sink Sink, relay_handler Handler);
+             event_sink Sink, relay_handler Handler,
+             invalid_frame_handler OnInvalidFrame);
   ~peer_links();
   peer_links(const peer_links &) = delete;
   peer_links &operator=(const peer_links &) = delete;
@@ -65,11 +70,13 @@
                       platform::http_call Call);
   void relayAnswered(std::uint64_t Number, relay_answer Answer);
   void connectionEnded(const std::string &Name);
+  void closeLink(const std::string &Name);
 
   boost::asio::io_context &Io;
   boost::asio::ip::tcp::acceptor Acceptor;
   event_sink Events;
   relay_handler RelayHandler;
+  invalid_frame_handler InvalidFrame;
   /// Keyed by "address:port" when dialled, by "#number" when accepted.
   std::map<std::string, std::shared_ptr<frame_socket>> Sockets;
   std::map<std::uint64_t, pending_relay> PendingRelays;
--- a/src/serve/session_daemon.cpp
+++ b/src/serve/session_daemon.cpp
@@ -37,10 +37,15 @@
       : Reread(std::move(RereadSettings)),
         Host(proxy::makeHost(Settings.Identity)), TickTimer(Io), Signals(Io),
         Callers(Io, Settings.Callers, sink()), Targets(Io, sink()),
-        Peers(Io, Settings.Identity.PeerEndpoint, sink(),
-              [this](platform::http_call Call, relay_callback Done) {
-                Gateway.relayFor(std::move(Call), std::move(Done));
-              }),
+        Peers(
+            Io, Settings.Identity.PeerEndpoint, sink(),
+            [this](platform::http_call Call, relay_callback Done) {
+              Gateway.relayFor(std::move(Call), std::move(Done));
+            },
+            [this](const std::string &Link, std::size_t Bytes) {
+              writeLog("peer.invalid",
+                       {{"link", Link}, {"bytes", std::to_string(Bytes)}});
+            }),
         Gateway(Io, Settings.Store, Settings.PromotionEndpoint, Peers, sink(),
                 [this](std::string_view Event,
                        std::vector<effects::log_field> Fields) {
--- a/tests/serve/store_gateway_tests.cpp
+++ b/tests/serve/store_gateway_tests.cpp
@@ -94,7 +94,8 @@
   recovering_store Store;
   serve::peer_links Peers(
       Store.Io, {"127.0.0.1", 0}, [](const proxy::event &) {},
-      [](const platform::http_call &, const serve::relay_callback &) {});
+      [](const platform::http_call &, const serve::relay_callback &) {},
+      [](const std::string &, std::size_t) {});
   serve::store_gateway Gateway(
       Store.Io, Store.where(), Store.where(), Peers,
       [](const proxy::event &) {},
