Watch the store directly when both watch sources have lost it

Change: only a source that says that it has not read the store yet (503) is asked again soon; others rest for 3 s, and the host watches the store itself meanwhile. The choice is a decision with a test of its own (store_access).

--- a/include/bronzespar/proxy/store_access.hpp
+++ b/include/bronzespar/proxy/store_access.hpp
@@ -3,9 +3,14 @@
 /// hosts that are partitioned from the store and from their peers.
 #pragma once
 
+#include <bronzespar/endpoint.hpp>
 #include <bronzespar/enum_table.hpp>
 #include <bronzespar/instant.hpp>
 
+#include <map>
+#include <optional>
+#include <vector>
+
 #include <cstddef>
 
 namespace bronzespar::proxy {
@@ -59,4 +64,26 @@
 /// centre may be in the same partition, so its answer proves nothing.
 [[nodiscard]] bool isIsolated(const store_access_state &Access, instant Now);
 
+/// \brief Result of a watch that a peer was asked to serve.
+enum class watch_source_result {
+  Served,
+  Starting, ///< The peer has not read the store yet.
+  Failed    ///< The peer did not answer, or has lost the store.
+};
+
+/// \brief Which watch sources may be asked.
+struct watch_source_state {
+  /// Earliest next watch at a source that did not serve the last one.
+  std::map<endpoint, instant> RetryAt;
+};
+
+/// \brief Chooses the source for the next watch.
+/// \param Sources In order of preference.
+/// \returns Nothing when the host should watch the store itself.
+[[nodiscard]] std::optional<endpoint>
+chooseWatchSource(const watch_source_state &State,
+                  const std::vector<endpoint> &Sources, instant Now);
+void recordWatchSource(watch_source_state &State, const endpoint &Source,
+                       watch_source_result Result, instant Now);
+
 } // namespace bronzespar::proxy
--- a/src/proxy/store_access.cpp
+++ b/src/proxy/store_access.cpp
@@ -1,4 +1,5 @@
-/// Choice between direct calls to the store and calls through a peer.
+/// Choice between direct calls to the store and calls through a peer, and of
+/// the peer whose watch this host shares.
 #include <bronzespar/proxy/store_access.hpp>
 
 namespace bronzespar::proxy {
@@ -11,6 +12,14 @@
 /// have timed out by then.
 constexpr duration IsolationTimeout = std::chrono::milliseconds(1600);
 
+/// A watch source that failed is not asked again before this has passed. The
+/// host watches the store itself when all have failed: they may be partitioned
+/// from the store while this host is not.
+constexpr duration WatchSourceRetryDelay = std::chrono::seconds(3);
+/// The same for a source that is starting. When many hosts start together, all
+/// would otherwise watch the store for seconds.
+constexpr duration WatchSourceStartDelay = std::chrono::milliseconds(300);
+
 } // namespace
 
 store_access chooseStoreAccess(store_access_state &Access, bool HasPeers,
@@ -48,4 +57,25 @@
   return Access.DirectFailed && Now >= Access.LastAnswerAt + IsolationTimeout;
 }
 
+std::optional<endpoint> chooseWatchSource(const watch_source_state &State,
+                                          const std::vector<endpoint> &Sources,
+                                          instant Now) {
+  for (const endpoint &Source : Sources) {
+    const auto RetryAt = State.RetryAt.find(Source);
+    if (RetryAt == State.RetryAt.end() || Now >= RetryAt->second)
+      return Source;
+  }
+  return std::nullopt;
+}
+
+void recordWatchSource(watch_source_state &State, const endpoint &Source,
+                       watch_source_result Result, instant Now) {
+  if (Result == watch_source_result::Served)
+    State.RetryAt.erase(Source);
+  else
+    State.RetryAt[Source] =
+        Now + (Result == watch_source_result::Starting ? WatchSourceStartDelay
+                                                       : WatchSourceRetryDelay);
+}
+
 } // namespace bronzespar::proxy
--- a/src/serve/store_gateway.cpp
+++ b/src/serve/store_gateway.cpp
@@ -12,12 +12,6 @@
 
 namespace {
 
-/// A watch source that did not answer is not called again before this has
-/// passed.
-constexpr duration WatchSourceRetryDelay = std::chrono::seconds(3);
-/// The same for one that answered that it has not read the store yet. When many
-/// hosts start together, all would otherwise watch the store for seconds.
-constexpr duration WatchSourceStartDelay = std::chrono::milliseconds(300);
 /// Time between two log lines with the number of calls to the store.
 constexpr duration CallReportInterval = std::chrono::seconds(10);
 /// A watch source answers each watch within PeerWatchTimeout. One that takes
@@ -33,6 +27,15 @@
          Answer.Status != StatusUnavailable;
 }
 
+proxy::watch_source_result
+watchSourceResultOf(const platform::http_answer &Answer) noexcept {
+  if (isServed(Answer))
+    return proxy::watch_source_result::Served;
+  return Answer.Status == StatusUnavailable
+             ? proxy::watch_source_result::Starting
+             : proxy::watch_source_result::Failed;
+}
+
 /// The path of a call without its query and without the id of a lease.
 std::string callKind(const std::string &Path) {
   const std::string Whole = Path.substr(0, Path.find('?'));
@@ -88,7 +91,9 @@
 void store_gateway::call(platform::http_link &Link, platform::http_call Call,
                          platform::http_callback Done) {
   const auto Source =
-      Call.IsLongPoll ? usableWatchSource() : std::optional<endpoint>();
+      Call.IsLongPoll
+          ? proxy::chooseWatchSource(WatchSourceState, WatchSources, bootNow())
+          : std::nullopt;
   if (Source) {
     callWatchSource(*Source, std::move(Call), std::move(Done));
     return;
@@ -101,28 +106,15 @@
     callDirectly(Link, std::move(Call), std::move(Done));
 }
 
-std::optional<endpoint> store_gateway::usableWatchSource() const {
-  for (const endpoint &Source : WatchSources) {
-    const auto RetryAt = WatchSourceRetryAt.find(Source);
-    if (RetryAt == WatchSourceRetryAt.end() || bootNow() >= RetryAt->second)
-      return Source;
-  }
-  return std::nullopt;
-}
-
 void store_gateway::callWatchSource(const endpoint &Source,
                                     platform::http_call Call,
                                     platform::http_callback Done) {
   Call.Timeout = WatchSourceTimeout;
   RelayLinks.relay(Source, Call,
                    [this, Source, Done = std::move(Done)](relay_answer Answer) {
-                     if (isServed(Answer.Answer))
-                       WatchSourceRetryAt.erase(Source);
-                     else
-                       WatchSourceRetryAt[Source] =
-                           bootNow() + (Answer.PeerAnswered
-                                            ? WatchSourceStartDelay
-                                            : WatchSourceRetryDelay);
+                     proxy::recordWatchSource(
+                         WatchSourceState, Source,
+                         watchSourceResultOf(Answer.Answer), bootNow());
                      Done(std::move(Answer.Answer));
                    });
 }
--- a/src/serve/store_gateway.hpp
+++ b/src/serve/store_gateway.hpp
@@ -64,8 +64,6 @@
             platform::http_callback Done);
   void callDirectly(platform::http_link &Link, platform::http_call Call,
                     platform::http_callback Done);
-  /// The first watch source that has not failed a moment ago.
-  [[nodiscard]] std::optional<endpoint> usableWatchSource() const;
   void callWatchSource(const endpoint &Source, platform::http_call Call,
                        platform::http_callback Done);
   void callThroughPeer(const platform::http_call &Call,
@@ -82,8 +80,7 @@
   proxy::store_access_state AccessState;
   std::vector<endpoint> RelayPeers;
   std::vector<endpoint> WatchSources; ///< In order of preference.
-  /// Earliest call to a watch source that failed.
-  std::map<endpoint, instant> WatchSourceRetryAt;
+  proxy::watch_source_state WatchSourceState;
   watch_server WatchServer;
   std::vector<std::shared_ptr<platform::http_link>>
       StoreLinks; ///< Of all channels.
--- a/tests/proxy/parts_tests.cpp
+++ b/tests/proxy/parts_tests.cpp
@@ -130,3 +130,31 @@
         store_access::Direct);
   CHECK_FALSE(isIsolated(Path, Start + 10s));
 }
+
+TEST_CASE("A host watches the store itself when all its sources lost it") {
+  // In the run pasja-kopel-grown trouble-1, both sources of a data centre were
+  // partitioned from the store but not from this host. It asked them in turn
+  // for seven seconds while its settings were outdated.
+  const std::vector<endpoint> Sources = {{"10.0.0.2", 7560},
+                                         {"10.0.0.3", 7560}};
+  watch_source_state State;
+  CHECK(chooseWatchSource(State, Sources, Start) == Sources[0]);
+  recordWatchSource(State, Sources[0], watch_source_result::Failed, Start);
+  CHECK(chooseWatchSource(State, Sources, Start + 250ms) == Sources[1]);
+  recordWatchSource(State, Sources[1], watch_source_result::Failed,
+                    Start + 250ms);
+  for (duration After = 500ms; After < 3s; After += 250ms)
+    CHECK_FALSE(chooseWatchSource(State, Sources, Start + After));
+  CHECK(chooseWatchSource(State, Sources, Start + 3s) == Sources[0]);
+}
+
+TEST_CASE("A watch source that is starting is asked again soon") {
+  const std::vector<endpoint> Sources = {{"10.0.0.2", 7560}};
+  watch_source_state State;
+  recordWatchSource(State, Sources[0], watch_source_result::Starting, Start);
+  CHECK_FALSE(chooseWatchSource(State, Sources, Start + 200ms));
+  CHECK(chooseWatchSource(State, Sources, Start + 300ms) == Sources[0]);
+  recordWatchSource(State, Sources[0], watch_source_result::Served,
+                    Start + 300ms);
+  CHECK(State.RetryAt.empty());
+}
