--- a/src/proxy/witnesses.cpp
+++ b/src/proxy/witnesses.cpp
@@ -44,9 +44,9 @@
     return Names;
   const std::size_t PerDataCentre =
       (MaxWitnesses + DataCentres.size() - 1) / DataCentres.size();
-  for (auto &[DataCentre, Hosts] : DataCentres)
+  for (const auto &[DataCentre, Hosts] : DataCentres)
     for (const host_id &Host :
-         rendezvousTop("witness/" + Group, std::move(Hosts), PerDataCentre))
+         rendezvousTop("witness/" + Group, Hosts, PerDataCentre))
       Names.push_back(Host.Value);
   return Names;
 }
--- a/tests/platform/store_client_tests.cpp
+++ b/tests/platform/store_client_tests.cpp
@@ -32,7 +32,7 @@
       [] { return instant(1000s); }};
 
   platform_channels channels() {
-    const auto Ignore = [](http_call, http_callback) {};
+    const auto Ignore = [](const http_call &, const http_callback &) {};
     platform_channels Channels;
     Channels.Lease = Ignore;
     Channels.Promotion = Ignore;
