Watch the store directly as soon as a watch source is silent

Change: silence of one source sends the host to the store for 3 s. The second is asked only when the first answers that it has lost the store.

--- a/include/bronzespar/proxy/store_access.hpp
+++ b/include/bronzespar/proxy/store_access.hpp
@@ -68,13 +68,17 @@
 enum class watch_source_result {
   Served,
   Starting, ///< The peer has not read the store yet.
-  Failed    ///< The peer did not answer, or has lost the store.
+  Failed,   ///< The peer has lost the store.
+  Silent    ///< The peer did not answer in time.
 };
 
 /// \brief Which watch sources may be asked.
 struct watch_source_state {
   /// Earliest next watch at a source that did not serve the last one.
   std::map<endpoint, instant> RetryAt;
+  /// No source is asked until then: waiting for another one that may be silent
+  /// as well would leave the settings outdated for longer.
+  instant DirectUntil{};
 };
 
 /// \brief Chooses the source for the next watch.
--- a/src/proxy/store_access.cpp
+++ b/src/proxy/store_access.cpp
@@ -60,6 +60,8 @@
 std::optional<endpoint> chooseWatchSource(const watch_source_state &State,
                                           const std::vector<endpoint> &Sources,
                                           instant Now) {
+  if (Now < State.DirectUntil)
+    return std::nullopt;
   for (const endpoint &Source : Sources) {
     const auto RetryAt = State.RetryAt.find(Source);
     if (RetryAt == State.RetryAt.end() || Now >= RetryAt->second)
@@ -70,8 +72,12 @@
 
 void recordWatchSource(watch_source_state &State, const endpoint &Source,
                        watch_source_result Result, instant Now) {
-  if (Result == watch_source_result::Served)
+  if (Result == watch_source_result::Served) {
     State.RetryAt.erase(Source);
+    return;
+  }
+  if (Result == watch_source_result::Silent)
+    State.DirectUntil = Now + WatchSourceRetryDelay;
   else
     State.RetryAt[Source] =
         Now + (Result == watch_source_result::Starting ? WatchSourceStartDelay
--- a/src/serve/store_gateway.cpp
+++ b/src/serve/store_gateway.cpp
@@ -28,10 +28,12 @@
 }
 
 proxy::watch_source_result
-watchSourceResultOf(const platform::http_answer &Answer) noexcept {
-  if (isServed(Answer))
+watchSourceResultOf(const relay_answer &Answer) noexcept {
+  if (!Answer.PeerAnswered)
+    return proxy::watch_source_result::Silent;
+  if (isServed(Answer.Answer))
     return proxy::watch_source_result::Served;
-  return Answer.Status == StatusUnavailable
+  return Answer.Answer.Status == StatusUnavailable
              ? proxy::watch_source_result::Starting
              : proxy::watch_source_result::Failed;
 }
@@ -112,9 +114,9 @@
   Call.Timeout = WatchSourceTimeout;
   RelayLinks.relay(Source, Call,
                    [this, Source, Done = std::move(Done)](relay_answer Answer) {
-                     proxy::recordWatchSource(
-                         WatchSourceState, Source,
-                         watchSourceResultOf(Answer.Answer), bootNow());
+                     proxy::recordWatchSource(WatchSourceState, Source,
+                                              watchSourceResultOf(Answer),
+                                              bootNow());
                      Done(std::move(Answer.Answer));
                    });
 }
--- a/tests/proxy/parts_tests.cpp
+++ b/tests/proxy/parts_tests.cpp
@@ -158,3 +158,13 @@
                     Start + 300ms);
   CHECK(State.RetryAt.empty());
 }
+
+TEST_CASE("A host does not wait for one silent watch source after the other") {
+  const std::vector<endpoint> Sources = {{"10.0.0.2", 7560},
+                                         {"10.0.0.3", 7560}};
+  watch_source_state State;
+  recordWatchSource(State, Sources[0], watch_source_result::Silent, Start);
+  CHECK_FALSE(chooseWatchSource(State, Sources, Start + 250ms));
+  CHECK_FALSE(chooseWatchSource(State, Sources, Start + 2900ms));
+  CHECK(chooseWatchSource(State, Sources, Start + 3s) == Sources[0]);
+}
