Let a watch through a silent peer end after the time a peer may take

The store answered it again at 13.2 s, but the watch waited 5.0 s for that host, to 17.87 s. A relayed watch had the time-out of a direct one, although a peer answers within 1 s.

Change: a relayed watch has the time-out of a watch source, 1.5 s.

Ruled out: a stale watch source (both refused or served as they should), the order of two sources (mended before, and not the whole cause).

Measured: the test fails without the change.

--- a/src/serve/store_gateway.cpp
+++ b/src/serve/store_gateway.cpp
@@ -14,9 +14,10 @@
 
 /// Time between two log lines with the number of calls to the store.
 constexpr duration CallReportInterval = std::chrono::seconds(10);
-/// A watch source answers each watch within PeerWatchTimeout. One that takes
-/// longer than this is unreachable or slow.
-constexpr duration WatchSourceTimeout =
+/// A peer answers each watch within PeerWatchTimeout. One that takes longer
+/// than this is unreachable or slow, and the settings would be outdated
+/// meanwhile.
+constexpr duration PeerWatchAnswerTimeout =
     platform::PeerWatchTimeout + std::chrono::milliseconds(500);
 constexpr unsigned StatusNone = 0;
 constexpr unsigned StatusTooMany = 429;
@@ -103,7 +104,7 @@
   const auto Access = proxy::chooseStoreAccess(AccessState, !RelayPeers.empty(),
                                                Call.IsLongPoll, bootNow());
   if (Access == proxy::store_access::Relay)
-    callThroughPeer(Call, std::move(Done));
+    callThroughPeer(std::move(Call), std::move(Done));
   else
     callDirectly(Link, std::move(Call), std::move(Done));
 }
@@ -111,7 +112,7 @@
 void store_gateway::callWatchSource(const endpoint &Source,
                                     platform::http_call Call,
                                     platform::http_callback Done) {
-  Call.Timeout = WatchSourceTimeout;
+  Call.Timeout = PeerWatchAnswerTimeout;
   RelayLinks.relay(Source, Call,
                    [this, Source, Done = std::move(Done)](relay_answer Answer) {
                      proxy::recordWatchSource(WatchSourceState, Source,
@@ -157,8 +158,10 @@
       Link->cancelLongPoll();
 }
 
-void store_gateway::callThroughPeer(const platform::http_call &Call,
+void store_gateway::callThroughPeer(platform::http_call Call,
                                     platform::http_callback Done) {
+  if (Call.IsLongPoll)
+    Call.Timeout = PeerWatchAnswerTimeout;
   const endpoint &Peer = RelayPeers[AccessState.RelayIndex % RelayPeers.size()];
   RelayLinks.relay(
       Peer, Call, [this, Done = std::move(Done)](relay_answer Answer) {
--- a/src/serve/store_gateway.hpp
+++ b/src/serve/store_gateway.hpp
@@ -66,8 +66,7 @@
                     platform::http_callback Done);
   void callWatchSource(const endpoint &Source, platform::http_call Call,
                        platform::http_callback Done);
-  void callThroughPeer(const platform::http_call &Call,
-                       platform::http_callback Done);
+  void callThroughPeer(platform::http_call Call, platform::http_callback Done);
   void recordDirectResult(const sent_call &Call,
                           const platform::http_answer &Answer);
 
--- a/tests/serve/store_gateway_tests.cpp
+++ b/tests/serve/store_gateway_tests.cpp
@@ -121,3 +121,35 @@
   REQUIRE(Renewed == 200);
   CHECK(WatchEnded);
 }
+
+TEST_CASE("A watch through a peer that is silent ends soon") {
+  // A partitioned host sent its watch through a host on the other side. It was
+  // reached by the store 0.3 s later, but waited 5 s for that answer.
+  recovering_store Store;
+  tcp::acceptor Silent{Store.Io, {asio::ip::address_v4::loopback(), 0}};
+  serve::peer_links Peers(
+      Store.Io, {"127.0.0.1", 0}, [](const proxy::event &) {},
+      [](const platform::http_call &, const serve::relay_callback &) {},
+      [](const std::string &, std::size_t) {});
+  serve::store_gateway Gateway(
+      Store.Io, Store.where(), Store.where(), Peers,
+      [](const proxy::event &) {},
+      [](std::string_view, const std::vector<proxy::effects::log_field> &) {});
+  Gateway.setRelays({{"127.0.0.1", Silent.local_endpoint().port()}});
+  const platform::platform_channels Channels = Gateway.makeChannels();
+  unsigned Renewed = 1;
+  Channels.Lease(renewal(), [&](const platform::http_answer &Answer) {
+    Renewed = Answer.Status;
+  });
+  Store.Io.run_for(200ms);
+  REQUIRE(Renewed == 0);
+  bool WatchEnded = false;
+  Channels.Operator(watch(), [&](const platform::http_answer &Answer) {
+    WatchEnded = Answer.Status == 0;
+  });
+  REQUIRE(Store.Watches == 0);
+  // The longest time for which a peer may hold a watch, and the transfer.
+  const instant Overdue = serve::bootNow() + platform::PeerWatchTimeout + 700ms;
+  Peers.expireRelays(Overdue);
+  CHECK(WatchEnded);
+}
