Watch the store directly as soon as it answers a host again

Change: when direct calls work again, relayed watches that are not answered are given up, and for 0.6 s watches go to the store itself, which suffices for one of each prefix.

Ruled out: 3 s of direct watches; hundreds of hosts may find the store back at the same time.

--- a/include/bronzespar/proxy/store_access.hpp
+++ b/include/bronzespar/proxy/store_access.hpp
@@ -90,4 +90,8 @@
 void recordWatchSource(watch_source_state &State, const endpoint &Source,
                        watch_source_result Result, instant Now);
 
+/// \brief Lets the next watches go to the store, which has just answered again:
+/// the sources may still be partitioned from it.
+void preferDirectWatches(watch_source_state &State, instant Now);
+
 } // namespace bronzespar::proxy
--- a/src/proxy/store_access.cpp
+++ b/src/proxy/store_access.cpp
@@ -20,6 +20,10 @@
 /// would otherwise watch the store for seconds.
 constexpr duration WatchSourceStartDelay = std::chrono::milliseconds(300);
 
+/// Long enough for one watch of each prefix, as many hosts may find at the same
+/// time that the store is back.
+constexpr duration RegainedDirectPeriod = std::chrono::milliseconds(600);
+
 } // namespace
 
 store_access chooseStoreAccess(store_access_state &Access, bool HasPeers,
@@ -84,4 +88,9 @@
                                                        : WatchSourceRetryDelay);
 }
 
+void preferDirectWatches(watch_source_state &State, instant Now) {
+  State.RetryAt.clear();
+  State.DirectUntil = Now + RegainedDirectPeriod;
+}
+
 } // namespace bronzespar::proxy
--- a/src/serve/peer_links.cpp
+++ b/src/serve/peer_links.cpp
@@ -357,12 +357,21 @@
   }
 }
 
+void peer_links::abandonWatches() {
+  std::vector<std::uint64_t> Watches;
+  for (const auto &[Number, Pending] : PendingRelays)
+    if (Pending.IsWatch)
+      Watches.push_back(Number);
+  for (const std::uint64_t Number : Watches)
+    relayAnswered(Number, {});
+}
+
 void peer_links::relay(const endpoint &Peer, const platform::http_call &Call,
                        relay_callback Callback) {
   const std::uint64_t Number = ++LastNumber;
   PendingRelays[Number] = {toText(Peer),
                            bootNow() + Call.Timeout + RelayTimeoutMargin,
-                           std::move(Callback)};
+                           Call.IsLongPoll, std::move(Callback)};
   findOrDial(Peer).send(encodeFrame(
       wire::SessionBody_RelayCall,
       [&](flatbuffers::FlatBufferBuilder &Builder) {
--- a/src/serve/peer_links.hpp
+++ b/src/serve/peer_links.hpp
@@ -54,12 +54,16 @@
              relay_callback Callback);
   /// \brief Fails relayed calls whose peer did not answer before the deadline.
   void expireRelays(instant Now);
+  /// \brief Fails relayed watches that are not answered yet, so that they are
+  /// sent anew.
+  void abandonWatches();
 
 private:
   struct frame_socket;
   struct pending_relay {
     std::string Peer;
     instant Deadline{};
+    bool IsWatch = false;
     relay_callback Callback;
   };
 
--- a/src/serve/store_gateway.cpp
+++ b/src/serve/store_gateway.cpp
@@ -156,6 +156,10 @@
   if (!AccessState.DirectFailed || !RelayPeers.empty())
     for (const auto &Link : StoreLinks)
       Link->cancelLongPoll();
+  if (!AccessState.DirectFailed) {
+    RelayLinks.abandonWatches();
+    proxy::preferDirectWatches(WatchSourceState, Now);
+  }
 }
 
 void store_gateway::callThroughPeer(platform::http_call Call,
--- a/tests/proxy/parts_tests.cpp
+++ b/tests/proxy/parts_tests.cpp
@@ -168,3 +168,14 @@
   CHECK_FALSE(chooseWatchSource(State, Sources, Start + 2900ms));
   CHECK(chooseWatchSource(State, Sources, Start + 3s) == Sources[0]);
 }
+
+TEST_CASE("The first watches after an outage go to the store itself") {
+  // A host that the store answered again waited 1.6 s for a peer and 1.6 s for
+  // its watch source, both on the other side of a partition.
+  const std::vector<endpoint> Sources = {{"10.0.0.2", 7560}};
+  watch_source_state State;
+  recordWatchSource(State, Sources[0], watch_source_result::Silent, Start);
+  preferDirectWatches(State, Start + 1s);
+  CHECK_FALSE(chooseWatchSource(State, Sources, Start + 1250ms));
+  CHECK(chooseWatchSource(State, Sources, Start + 1600ms) == Sources[0]);
+}
