--- a/src/proxy/electors.cpp
+++ b/src/proxy/electors.cpp
@@ -202,8 +202,7 @@
     Candidates.emplace_back(Name);
   std::vector<std::string> Names;
   Names.reserve(MaxElectors);
-  for (const host_id &Host :
-       rendezvousTop("electors", std::move(Candidates), MaxElectors))
+  for (const host_id &Host : rendezvousTop("electors", Candidates, MaxElectors))
     Names.push_back(Host.Value);
   balanceDataCentres(Names, Expected);
   return Names;
