Share what the change wrote twice, without a change of behaviour

Cause: reading the whole change showed the grouping of hosts by data centre in owner_table.cpp and witnesses.cpp, the lookup of a primary's group twice in witnesses.cpp, a second search for a setting beside entryOf, two tests with the same set-up, reports looked up twice a tick for each group, a call's path cut twice, and a comment on silent owners that was true before stand-ins.

Change: servingHosts, groupOfPrimary, one lookup in serve_settings, the fixture cut_off_host; each value computed once; the comment says what happens now.

Ruled out: one function for closing a peer's link in expireRelays as well. There the calls must fail also when the link is gone.

--- a/src/proxy/host_list.cpp
+++ b/src/proxy/host_list.cpp
@@ -163,6 +163,14 @@
 
 } // namespace
 
+std::map<std::string, std::vector<host_id>> servingHosts(const host &State) {
+  std::map<std::string, std::vector<host_id>> DataCentres;
+  for (const auto &[Name, Peer] : State.Hosts)
+    if (!Peer.Record.Leaving)
+      DataCentres[Peer.Record.DataCentre].emplace_back(Name);
+  return DataCentres;
+}
+
 void hostChanged(step_context &Step, const std::string &Name,
                  const store_record &Record) {
   const std::size_t OldCount = Step.State.Hosts.size();
--- a/src/proxy/owner_table.cpp
+++ b/src/proxy/owner_table.cpp
@@ -17,17 +17,6 @@
 /// The owner of a target and its stand-ins.
 constexpr std::size_t MaxOwners = 3;
 
-/// Hosts that may own connections, by data centre.
-using candidates_by_data_centre = std::map<std::string, std::vector<host_id>>;
-
-candidates_by_data_centre ownerCandidates(const host &State) {
-  candidates_by_data_centre Candidates;
-  for (const auto &[Name, Peer] : State.Hosts)
-    if (!Peer.Record.Leaving)
-      Candidates[Peer.Record.DataCentre].emplace_back(Name);
-  return Candidates;
-}
-
 /// Orders the candidates for a target by rendezvous hashing and moves a host
 /// that owns fewer than MaxTargets to the front.
 std::vector<std::string> rankOwners(const std::string &Target,
@@ -69,7 +58,7 @@
   Table.HostsVersion = State.HostsVersion;
   Table.TargetsVersion = State.TargetsVersion;
   Table.Owners.clear();
-  candidates_by_data_centre Candidates = ownerCandidates(State);
+  const auto Candidates = servingHosts(State);
   std::vector<host_id> AllHosts;
   for (const auto &[DataCentre, Hosts] : Candidates)
     AllHosts.insert(AllHosts.end(), Hosts.begin(), Hosts.end());
--- a/src/proxy/owners.cpp
+++ b/src/proxy/owners.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 /// An owner that sends nothing for this long while a statement waits there is
-/// unresponsive. It gets no statements for the back-off time, in which targets
-/// are used directly.
+/// unresponsive. It gets no statements for the back-off time, in which a
+/// stand-in runs them.
 constexpr duration OwnerAnswerTimeout = std::chrono::milliseconds(220);
 constexpr duration UnresponsiveOwnerBackOff = std::chrono::milliseconds(1500);
 /// The connection to an unresponsive owner is treated as lost after this time:
@@ -97,6 +97,17 @@
   return Route;
 }
 
+/// Time for which an owner has sent nothing although a statement waits there.
+/// It reports while it works on one, so silence means that it is lost.
+duration silenceOfOwner(const host &State, const target_connection &Connection,
+                        instant Now) {
+  const auto AnsweredAt = State.OwnersAnsweredAt.find(*Connection.Owner);
+  const instant Since = AnsweredAt == State.OwnersAnsweredAt.end()
+                            ? Connection.SentAt
+                            : std::max(Connection.SentAt, AnsweredAt->second);
+  return Now - Since;
+}
+
 } // namespace
 
 void forwardRequest(step_context &Step, target_view &Target,
@@ -226,21 +237,6 @@
     targetLost(Step, Number);
 }
 
-namespace {
-
-/// Time for which an owner has sent nothing although a statement waits there.
-/// It reports while it works on one, so silence means that it is lost.
-duration silenceOfOwner(const host &State, const target_connection &Connection,
-                        instant Now) {
-  const auto AnsweredAt = State.OwnersAnsweredAt.find(*Connection.Owner);
-  const instant Since = AnsweredAt == State.OwnersAnsweredAt.end()
-                            ? Connection.SentAt
-                            : std::max(Connection.SentAt, AnsweredAt->second);
-  return Now - Since;
-}
-
-} // namespace
-
 void detectUnresponsiveOwner(step_context &Step,
                              const target_connection &Connection) {
   if (!Connection.Owner || Connection.Phase != connection_phase::Running)
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -3,6 +3,8 @@
 
 #include "state.hpp"
 
+#include <bronzespar/ids.hpp>
+
 #include <initializer_list>
 
 namespace bronzespar::proxy {
@@ -44,6 +46,7 @@
 
 // Placement of queued requests on targets (placement.cpp).
 void placeWaiting(step_context &Step);
+
 // Positions of primaries (positions.cpp).
 /// \brief Position that a replica must cover to answer a request's read, or
 /// nothing while no recent position of the primary is known.
@@ -141,6 +144,9 @@
 void dropAbsentTargets(step_context &Step);
 
 // The list of hosts (host_list.cpp).
+/// \brief Hosts that are not stopping, by data centre.
+[[nodiscard]] std::map<std::string, std::vector<host_id>>
+servingHosts(const host &State);
 void hostChanged(step_context &Step, const std::string &Name,
                  const store_record &Record);
 /// \param Revision Store revision of the removal.
@@ -166,7 +172,8 @@
 void noteReachability(step_context &Step, target_view &Target, bool Answered);
 
 // Evidence that a primary is lost (witnesses.cpp).
-/// \brief Notes that a target's owner or the target itself did not answer.
+/// \brief Notes that a target's owner or the target itself did not answer, if
+/// the target is its group's primary.
 void suspectPrimary(step_context &Step, const std::string &Target);
 void superviseWitnesses(step_context &Step);
 /// \param Answered The target told its status in time.
--- a/src/proxy/witnesses.cpp
+++ b/src/proxy/witnesses.cpp
@@ -35,10 +35,7 @@
 /// As many hosts of each data centre, about MaxWitnesses in all.
 std::vector<std::string> chooseWitnesses(const host &State,
                                          const std::string &Group) {
-  std::map<std::string, std::vector<host_id>> DataCentres;
-  for (const auto &[Name, Peer] : State.Hosts)
-    if (!Peer.Record.Leaving)
-      DataCentres[Peer.Record.DataCentre].emplace_back(Name);
+  const auto DataCentres = servingHosts(State);
   std::vector<std::string> Names;
   if (DataCentres.empty())
     return Names;
@@ -68,6 +65,16 @@
          Names.end();
 }
 
+/// The group whose primary a target is, or null.
+group_state *groupOfPrimary(host &State, const std::string &Target) {
+  const target_view *View = findIn(State.Targets, Target);
+  group_state *Group =
+      View == nullptr ? nullptr : findIn(State.Groups, View->Entry.Group);
+  const bool IsPrimary =
+      Group != nullptr && Group->Record && Group->Record->Primary == Target;
+  return IsPrimary ? Group : nullptr;
+}
+
 bool reports(const host_record &Record, const std::string &Name,
              const std::string &Primary) {
   for (const auto *Reported :
@@ -110,10 +117,9 @@
   }
   const std::string &Primary = Group.Record->Primary;
   const bool Suspects = Step.Now < Witness.SuspectedUntil;
-  Witness.IsReporting = Suspects && (Witness.IsReporting ||
-                                     !isReported(Step.State, Name, Primary));
-  const bool MustProbe = Suspects || Group.PrimaryUnreachable ||
-                         isReported(Step.State, Name, Primary);
+  const bool IsReported = isReported(Step.State, Name, Primary);
+  Witness.IsReporting = Suspects && (Witness.IsReporting || !IsReported);
+  const bool MustProbe = Suspects || Group.PrimaryUnreachable || IsReported;
   if (MustProbe && isWitness(Step.State, Name, Witness))
     probePrimary(Step, Name, Primary, Witness);
 }
@@ -121,14 +127,13 @@
 } // namespace
 
 void suspectPrimary(step_context &Step, const std::string &Target) {
-  const target_view *View = findIn(Step.State.Targets, Target);
-  group_state *Group =
-      View == nullptr ? nullptr : findIn(Step.State.Groups, View->Entry.Group);
-  if (Group == nullptr || !Group->Record || Group->Record->Primary != Target)
+  group_state *Group = groupOfPrimary(Step.State, Target);
+  if (Group == nullptr)
     return;
   if (Step.Now >= Group->Witness.SuspectedUntil)
     logLine(Step, "primary.suspected",
-            {{"group", View->Entry.Group}, {"target", Target}});
+            {{"group", Step.State.Targets.at(Target).Entry.Group},
+             {"target", Target}});
   Group->Witness.SuspectedUntil = Step.Now + SuspicionPeriod;
 }
 
@@ -141,11 +146,8 @@
 
 void witnessProbed(step_context &Step, const std::string &Target,
                    bool Answered) {
-  const target_view *View = findIn(Step.State.Targets, Target);
-  group_state *Group =
-      View == nullptr ? nullptr : findIn(Step.State.Groups, View->Entry.Group);
-  if (Group == nullptr || !Group->Record || !Group->Record->Open ||
-      Group->Record->Primary != Target || isSmallFleet(Step.State))
+  group_state *Group = groupOfPrimary(Step.State, Target);
+  if (Group == nullptr || !Group->Record->Open || isSmallFleet(Step.State))
     return;
   witness_state &Witness = Group->Witness;
   if (Answered) {
@@ -160,7 +162,8 @@
     return;
   Group->PrimaryUnreachable = Unreachable;
   logLine(Step, Unreachable ? "primary.unreached" : "primary.regained",
-          {{"group", View->Entry.Group}, {"target", Target}});
+          {{"group", Step.State.Targets.at(Target).Entry.Group},
+           {"target", Target}});
 }
 
 unreachable_reports countReports(const host &State, const std::string &Name,
--- a/src/serve/serve_settings.cpp
+++ b/src/serve/serve_settings.cpp
@@ -7,7 +7,6 @@
 
 #include <boost/leaf/handle_errors.hpp>
 
-#include <algorithm>
 #include <charconv>
 
 namespace bronzespar::serve {
@@ -21,12 +20,20 @@
   std::string Text;
 };
 
-const ini_entry &entryOf(const std::vector<ini_section> &Sections,
-                         std::string_view Path, std::string_view Name) {
+/// \returns Null when the settings lack the entry.
+const ini_entry *findIn(const std::vector<ini_section> &Sections,
+                        std::string_view Path, std::string_view Name) {
   for (const ini_section &Section : Sections)
     if (Section.Path == Path)
       if (const ini_entry *Entry = findEntry(Section, Name))
-        return *Entry;
+        return Entry;
+  return nullptr;
+}
+
+const ini_entry &entryOf(const std::vector<ini_section> &Sections,
+                         std::string_view Path, std::string_view Name) {
+  if (const ini_entry *Entry = findIn(Sections, Path, Name))
+    return *Entry;
   throw settings_error{"[" + std::string(Path) + "] lacks " +
                        std::string(Name)};
 }
@@ -56,14 +63,6 @@
   return Value;
 }
 
-bool isPresent(const std::vector<ini_section> &Sections, std::string_view Path,
-               std::string_view Name) {
-  return std::any_of(
-      Sections.begin(), Sections.end(), [&](const ini_section &Section) {
-        return Section.Path == Path && findEntry(Section, Name) != nullptr;
-      });
-}
-
 duration millisecondsOf(double Number) {
   return duration(static_cast<duration::rep>(Number * 1000));
 }
@@ -75,7 +74,7 @@
   Settings.Identity.Name = entryOf(Sections, "host", "id").Value;
   Settings.Identity.DataCentre = entryOf(Sections, "host", "data_centre").Value;
   Settings.Identity.PeerEndpoint = endpointOf(Sections, "host", "peers");
-  if (isPresent(Sections, "host", "link_mbps"))
+  if (findIn(Sections, "host", "link_mbps") != nullptr)
     Settings.Identity.LinkMbps = numberOf(Sections, "host", "link_mbps");
   Settings.Callers = endpointOf(Sections, "host", "callers");
   Settings.Readiness = endpointOf(Sections, "host", "readiness");
--- a/src/serve/store_gateway.cpp
+++ b/src/serve/store_gateway.cpp
@@ -39,14 +39,14 @@
              : proxy::watch_source_result::Failed;
 }
 
-/// The path of a call without its query and without the id of a lease.
+/// A call's path without the id of a lease.
+/// \param Path Without its query.
 std::string callKind(const std::string &Path) {
-  const std::string Whole = Path.substr(0, Path.find('?'));
-  const std::size_t LastSlash = Whole.rfind('/');
+  const std::size_t LastSlash = Path.rfind('/');
   const bool HasId =
-      LastSlash != std::string::npos && LastSlash + 1 < Whole.size() &&
-      std::isdigit(static_cast<unsigned char>(Whole[LastSlash + 1])) != 0;
-  return HasId ? Whole.substr(0, LastSlash) : Whole;
+      LastSlash != std::string::npos && LastSlash + 1 < Path.size() &&
+      std::isdigit(static_cast<unsigned char>(Path[LastSlash + 1])) != 0;
+  return HasId ? Path.substr(0, LastSlash) : Path;
 }
 
 proxy::call_result callResultOf(bool Waits,
@@ -127,7 +127,7 @@
                                  platform::http_callback Done) {
   sent_call Sent{Call.Path.substr(0, Call.Path.find('?')), Call.IsLongPoll,
                  bootNow()};
-  CallCounts[callKind(Call.Path)] += 1;
+  CallCounts[callKind(Sent.Path)] += 1;
   Link.call(std::move(Call),
             [this, Sent = std::move(Sent),
              Done = std::move(Done)](const platform::http_answer &Answer) {
--- a/tests/serve/store_gateway_tests.cpp
+++ b/tests/serve/store_gateway_tests.cpp
@@ -86,82 +86,82 @@
   return {"GET", "/v1/kv-watch?Prefix=op/", {}, {}, 5s, true};
 }
 
+/// A host whose first call to the store got no answer.
+struct cut_off_host {
+  recovering_store Store;
+  serve::peer_links Peers{
+      Store.Io,
+      {"127.0.0.1", 0},
+      [](const proxy::event &) {},
+      [](const platform::http_call &, const serve::relay_callback &) {},
+      [](const std::string &, std::size_t) {}};
+  serve::store_gateway Gateway{
+      Store.Io,
+      Store.where(),
+      Store.where(),
+      Peers,
+      [](const proxy::event &) {},
+      [](std::string_view, const std::vector<proxy::effects::log_field> &) {}};
+  platform::platform_channels Channels = Gateway.makeChannels();
+  unsigned Renewed = 1; ///< Status of the last renewal that ended.
+  bool WatchEnded = false;
+
+  cut_off_host() {
+    renew();
+    REQUIRE(Renewed == 0);
+  }
+
+  void run(duration Span) {
+    Store.Io.restart();
+    Store.Io.run_for(Span);
+  }
+
+  void renew() {
+    Channels.Lease(renewal(), [this](const platform::http_answer &Answer) {
+      Renewed = Answer.Status;
+    });
+    run(600ms);
+  }
+
+  void startWatch() {
+    Channels.Operator(watch(), [this](const platform::http_answer &Answer) {
+      WatchEnded = Answer.Status == 0;
+    });
+  }
+};
+
 } // namespace
 
 TEST_CASE("A watch that began before the store came back is started again") {
   // A host that was cut off had its lease 1.2 s after the cut, but its settings
   // were outdated for 5.3 s more: the watch waited for its time-out.
-  recovering_store Store;
-  serve::peer_links Peers(
-      Store.Io, {"127.0.0.1", 0}, [](const proxy::event &) {},
-      [](const platform::http_call &, const serve::relay_callback &) {},
-      [](const std::string &, std::size_t) {});
-  serve::store_gateway Gateway(
-      Store.Io, Store.where(), Store.where(), Peers,
-      [](const proxy::event &) {},
-      [](std::string_view, const std::vector<proxy::effects::log_field> &) {});
-  const platform::platform_channels Channels = Gateway.makeChannels();
-  unsigned Renewed = 1;
-  Channels.Lease(renewal(), [&](const platform::http_answer &Answer) {
-    Renewed = Answer.Status;
-  });
-  Store.Io.run_for(600ms);
-  REQUIRE(Renewed == 0);
-  bool WatchEnded = false;
-  Channels.Operator(watch(), [&](const platform::http_answer &Answer) {
-    WatchEnded = Answer.Status == 0;
-  });
-  Store.Io.run_for(600ms);
-  REQUIRE(Store.Watches == 1);
-  REQUIRE_FALSE(WatchEnded);
-  Channels.Lease(renewal(), [&](const platform::http_answer &Answer) {
-    Renewed = Answer.Status;
-  });
-  Store.Io.run_for(600ms);
-  REQUIRE(Renewed == 200);
-  CHECK(WatchEnded);
+  cut_off_host Host;
+  Host.startWatch();
+  Host.run(600ms);
+  REQUIRE(Host.Store.Watches == 1);
+  REQUIRE_FALSE(Host.WatchEnded);
+  Host.renew();
+  REQUIRE(Host.Renewed == 200);
+  CHECK(Host.WatchEnded);
 }
 
 TEST_CASE("A watch through a peer that is silent ends soon") {
   // A partitioned host sent its watch through a host on the other side. It was
   // reached by the store 0.3 s later, but waited 5 s for that answer.
-  recovering_store Store;
-  tcp::acceptor Silent{Store.Io, {asio::ip::address_v4::loopback(), 0}};
-  serve::peer_links Peers(
-      Store.Io, {"127.0.0.1", 0}, [](const proxy::event &) {},
-      [](const platform::http_call &, const serve::relay_callback &) {},
-      [](const std::string &, std::size_t) {});
-  serve::store_gateway Gateway(
-      Store.Io, Store.where(), Store.where(), Peers,
-      [](const proxy::event &) {},
-      [](std::string_view, const std::vector<proxy::effects::log_field> &) {});
-  Gateway.setRelays({{"127.0.0.1", Silent.local_endpoint().port()}});
-  const platform::platform_channels Channels = Gateway.makeChannels();
-  unsigned Renewed = 1;
-  Channels.Lease(renewal(), [&](const platform::http_answer &Answer) {
-    Renewed = Answer.Status;
-  });
-  Store.Io.run_for(600ms);
-  REQUIRE(Renewed == 0);
-  bool WatchEnded = false;
-  Channels.Operator(watch(), [&](const platform::http_answer &Answer) {
-    WatchEnded = Answer.Status == 0;
-  });
-  REQUIRE(Store.Watches == 0);
+  cut_off_host Host;
+  tcp::acceptor Silent{Host.Store.Io, {asio::ip::address_v4::loopback(), 0}};
+  Host.Gateway.setRelays({{"127.0.0.1", Silent.local_endpoint().port()}});
+  Host.startWatch();
+  REQUIRE(Host.Store.Watches == 0);
   SECTION("at once when the store answers this host again") {
-    Store.Io.restart();
-    Store.Io.run_for(1600ms);
-    Channels.Lease(renewal(), [&](const platform::http_answer &Answer) {
-      Renewed = Answer.Status;
-    });
-    Store.Io.restart();
-    Store.Io.run_for(600ms);
-    REQUIRE(Renewed == 200);
-    CHECK(WatchEnded);
+    Host.run(1600ms);
+    Host.renew();
+    REQUIRE(Host.Renewed == 200);
+    CHECK(Host.WatchEnded);
     return;
   }
   // The longest time for which a peer may hold a watch, and the transfer.
   const instant Overdue = serve::bootNow() + platform::PeerWatchTimeout + 700ms;
-  Peers.expireRelays(Overdue);
-  CHECK(WatchEnded);
+  Host.Peers.expireRelays(Overdue);
+  CHECK(Host.WatchEnded);
 }
