--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -126,5 +126,7 @@
       !hasTrouble() || (Loss.Lost > 0 && Loss.Lost <= LostShare * Loss.Writes);
   if (Served < 100 || !Fair)
     return 2;
+  if (World.EndedByThemselves > 0)
+    return 2;
   return Broken > 0 ? 1 : 0;
 }
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -110,5 +110,7 @@
       Served, World.Promotes.size(), Lost);
   if (Served < 100)
     return 2;
+  if (World.EndedByThemselves > 0)
+    return 2;
   return Lost > 0 ? 1 : 0;
 }
--- a/review/world.cc
+++ b/review/world.cc
@@ -373,19 +373,34 @@
   http::response<http::string_body> Response;
 };
 
+/// A loopback address of this run, so that runs side by side share no ports.
+const std::string &ownAddress() {
+  static const std::string Address = [] {
+    std::random_device Random;
+    const auto Part = [&] { return std::to_string(1 + Random() % 250); };
+    return "127." + Part() + '.' + Part() + '.' + Part();
+  }();
+  return Address;
+}
+
 tcp::endpoint loopback(unsigned short Port) {
-  return {asio::ip::address_v4::loopback(), Port};
+  return {asio::ip::make_address(ownAddress()), Port};
 }
 
 /// An acceptor at a free port below those that the kernel gives to connections.
 tcp::acceptor freeAcceptor(asio::io_context &Io) {
   static std::mt19937 Random{std::random_device{}()};
   std::uniform_int_distribution<unsigned short> Ports(15000, 31999);
+  // Ports that hosts get are free again until the hosts listen there.
+  static std::set<unsigned short> Given;
   for (int Try = 0; Try < 1000; ++Try) {
+    const unsigned short Port = Ports(Random);
+    if (!Given.insert(Port).second)
+      continue;
     tcp::acceptor Acceptor(Io, tcp::v4());
     Acceptor.set_option(tcp::acceptor::reuse_address(true));
     boost::system::error_code Failed;
-    Acceptor.bind(loopback(Ports(Random)), Failed);
+    Acceptor.bind(loopback(Port), Failed);
     if (!Failed)
       Acceptor.listen(asio::socket_base::max_listen_connections, Failed);
     if (!Failed)
@@ -788,18 +803,18 @@
 }
 
 void simulation::report(member &Member) {
-  Store.put(
-      "servers/" + Member.Id,
-      json::object{{"Backend", Member.Group->Name},
-                   {"Address", "127.0.0.1:" + std::to_string(Member.Port)},
-                   {"Zone", Member.Zone},
-                   {"Version", "v1"},
-                   {"Capacity", Options.Slots},
-                   {"Phase", Member.Draining ? "draining" : "ready"},
-                   {"ColdRemainingMs", 0},
-                   {"DbRole", Member.Primary ? "primary" : "replica"},
-                   {"Sequence", ++Member.Sequence},
-                   {"born", Member.BornMs}});
+  Store.put("servers/" + Member.Id,
+            json::object{
+                {"Backend", Member.Group->Name},
+                {"Address", ownAddress() + ':' + std::to_string(Member.Port)},
+                {"Zone", Member.Zone},
+                {"Version", "v1"},
+                {"Capacity", Options.Slots},
+                {"Phase", Member.Draining ? "draining" : "ready"},
+                {"ColdRemainingMs", 0},
+                {"DbRole", Member.Primary ? "primary" : "replica"},
+                {"Sequence", ++Member.Sequence},
+                {"born", Member.BornMs}});
 }
 
 void simulation::beat(member &Member, unsigned Incarnation) {
@@ -1127,7 +1142,7 @@
 /// The template of the deploy file with the fields of DEPLOY.md.
 std::string simulation::fillTemplate(const host_process &Host) const {
   const auto Local = [](unsigned short Port) {
-    return "127.0.0.1:" + std::to_string(Port);
+    return ownAddress() + ':' + std::to_string(Port);
   };
   std::ifstream File(Root + "/deploy/host.ini");
   std::stringstream Read;
@@ -1188,11 +1203,13 @@
     std::exit(2);
   }
   posix_spawn_file_actions_destroy(&Actions);
+  Host.Stopped = false;
   note("host " + Name + " starts");
 }
 
 void simulation::signalHost(const std::string &Name, int Signal) {
-  const host_process &Host = Hosts.at(Name);
+  host_process &Host = Hosts.at(Name);
+  Host.Stopped = Host.Stopped || Signal == SIGTERM || Signal == SIGKILL;
   note("host " + Name + " gets signal " + std::to_string(Signal));
   if (Host.Pid > 0)
     kill(Host.Pid, Signal);
@@ -1207,6 +1224,8 @@
                 ? "exit code " + std::to_string(WEXITSTATUS(Status))
                 : "signal " + std::to_string(WTERMSIG(Status))));
       Host.Pid = -1;
+      if (!Host.Stopped)
+        EndedByThemselves += 1;
       // The platform restarts a process that ended.
       if (!Host.Removed)
         after(1000, [this, Name = Name] { startHost(Name); });
--- a/review/world.hh
+++ b/review/world.hh
@@ -202,6 +202,7 @@
   unsigned short Callers = 0, Ready = 0, Peers = 0, Metrics = 0;
   pid_t Pid = -1;
   bool Removed = false; // it doesn't start again
+  bool Stopped = false; // it was told to end
 };
 
 class simulation {
@@ -217,6 +218,8 @@
   std::vector<run> Runs;
   std::vector<promote_call> Promotes;
   std::map<std::string, host_process> Hosts;
+  /// Hosts that ended untold; then a case couldn't run as it is meant.
+  int EndedByThemselves = 0;
   /// Time by which the platform's answer to an order is late.
   int PromoteAnswerDelayMs = 2;
   std::function<void(const promote_call &)> OnPromote;
