Log changes of records that the store did not confirm

Cause: a change that the store refused or did not answer left no line, so that a log could not tell a lost answer from a conflict.

Change: store.change_unconfirmed names the record and the outcome, for a host's registration, the claim of the coordinator role and a group's record.

Ruled out: logging in the adapter, which does not know what a call was for.

Result: the 100 tests of test_proxy pass; behaviour is unchanged.

--- a/src/proxy/coordinator.cpp
+++ b/src/proxy/coordinator.cpp
@@ -72,8 +72,10 @@
     return false;
   Role.ClaimCall = 0;
   Role.NextClaimAt = Step.Now + ClaimRetryDelay;
-  if (Event.Outcome != change_outcome::Done)
+  if (Event.Outcome != change_outcome::Done) {
+    logUnconfirmedChange(Step, CoordinatorKey, Event);
     return true;
+  }
   Role.IsHeld = true;
   Role.Holder = Step.State.Identity.Name;
   Role.FencingToken = Event.Revision;
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -167,6 +167,10 @@
 void recordRemoved(step_context &Step, const events::record_removed &Event);
 void recordsRead(step_context &Step, const events::records_read &Event);
 void changeEnded(step_context &Step, const events::change_ended &Event);
+/// \brief Logs that a change of a record was not confirmed.
+/// \remarks After Unknown, the store may still make the change.
+void logUnconfirmedChange(step_context &Step, std::string_view Key,
+                          const events::change_ended &Event);
 /// \brief Updates whether this host reaches a group's primary, after the target
 /// answered or a dial failed.
 void noteReachability(step_context &Step, target_view &Target, bool Answered);
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -300,10 +300,19 @@
   }
 }
 
+void logUnconfirmedChange(step_context &Step, std::string_view Key,
+                          const events::change_ended &Event) {
+  logLine(Step, "store.change_unconfirmed",
+          {{"key", std::string(Key)},
+           {"outcome", std::string(enumName(Event.Outcome))}});
+}
+
 void changeEnded(step_context &Step, const events::change_ended &Event) {
   lease_state &Lease = Step.State.Lease;
   if (Event.Call == Lease.RegisterCall && Event.Call != 0) {
     Lease.RegisterCall = 0;
+    if (Event.Outcome != change_outcome::Done)
+      logUnconfirmedChange(Step, ownKey(Step.State), Event);
     if (Event.Outcome == change_outcome::Done)
       registrationStored(Lease, Event.Revision, Step.Now);
     else if (Event.Outcome == change_outcome::LeaseGone)
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -405,6 +405,7 @@
     Promotion.ChangeCall = 0;
     const bool Done = Event.Outcome == change_outcome::Done;
     if (!Done) {
+      logUnconfirmedChange(Step, groupKey(Name), Event);
       // The watch delivers the current record, which decides the next stage.
       Promotion = {};
       return true;
