Write the closed record again before a promotion that finds it closed

Cause: an unanswered change of a group's record counted as not made. The coordinator's log shows the change that opens the record (outcome Unknown), the record taken for one that a previous coordinator left closed, the order 40 ms later, and then the store opening the record for the old primary, since its revision was still the expected one.

Change: every promotion writes the closed record itself and goes on when this is confirmed, also if the record is closed already; the generation stays, so hosts' acknowledgements remain valid. The record is opened only at the revision that this promotion wrote, and a promotion ends if anybody else changed the record. A change that failed is repeated after 200 ms.

Ruled out: a longer wait before the order, as the store names no bound; a look at the record before the order, as the change may be made right after.

The promotion itself is still needless there, as the primary was well; that is a fault of its own.

--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -2,6 +2,12 @@
 /// waits until every host has stopped using the primary, chooses the replica
 /// with the highest received position, orders its promotion, and opens the
 /// record once the replica is primary.
+///
+/// A change of the record that was not answered may be made later, while the
+/// record has the revision that the change expects. Therefore each promotion
+/// writes the closed record itself, also when it finds it closed: the write
+/// changes the revision, so that no earlier change can open the record after
+/// the order.
 #include "parts.hpp"
 
 #include <algorithm>
@@ -29,8 +35,8 @@
 /// Time between two checks of a group's electors, as there may be hundreds of
 /// groups.
 constexpr duration ElectorCheckInterval = std::chrono::milliseconds(500);
-/// Time between two attempts to create a group's record.
-constexpr duration CreateRetryDelay = std::chrono::milliseconds(200);
+/// Delay after a change of a group's record that was not confirmed.
+constexpr duration RecordRetryDelay = std::chrono::milliseconds(200);
 /// A read of the hosts that is not answered in time is repeated.
 constexpr duration HostsReadTimeout = std::chrono::milliseconds(1600);
 
@@ -50,11 +56,12 @@
 }
 
 void changeRecord(step_context &Step, const std::string &Name,
-                  group_state &Group, const group_record &Record) {
+                  group_state &Group, std::uint64_t ExpectedRevision,
+                  const group_record &Record) {
   Group.Promotion.ChangeCall = nextNumber(Step.State);
   effects::change_records Change;
   Change.Call = Group.Promotion.ChangeCall;
-  Change.Expected.emplace_back(groupKey(Name), Group.Revision);
+  Change.Expected.emplace_back(groupKey(Name), ExpectedRevision);
   Group.Promotion.ChangeValue = formatRecord(Record);
   Change.Writes.push_back({groupKey(Name), Group.Promotion.ChangeValue, false});
   Step.Out.push_back(std::move(Change));
@@ -71,11 +78,10 @@
 void createRecord(step_context &Step, const std::string &Name,
                   group_state &Group) {
   const target_view *Primary = listedPrimary(Step.State, Name);
-  if (Primary == nullptr || Step.Now < Group.Promotion.NextTryAt)
+  if (Primary == nullptr)
     return;
-  Group.Promotion.NextTryAt = Step.Now + CreateRetryDelay;
   changeRecord(
-      Step, Name, Group,
+      Step, Name, Group, Group.Revision,
       {1, Primary->Entry.Id, true, chooseElectors(Step.State, Step.Now)});
 }
 
@@ -110,12 +116,16 @@
                      });
 }
 
+/// Writes the closed record. One that is closed already keeps its generation,
+/// as the hosts' acknowledgements of it stay valid.
 void closeRecord(step_context &Step, const std::string &Name,
                  group_state &Group) {
   enterStage(Step, Name, Group, promotion_stage::Closing);
-  changeRecord(Step, Name, Group,
-               {Group.Record->Generation + 1, Group.Record->Primary, false,
-                Group.Record->Electors});
+  const std::uint64_t Generation =
+      Group.Record->Generation + (Group.Record->Open ? 1 : 0);
+  changeRecord(
+      Step, Name, Group, Group.Revision,
+      {Generation, Group.Record->Primary, false, Group.Record->Electors});
 }
 
 /// Starts a promotion if the group needs another primary and has a replica.
@@ -174,10 +184,8 @@
 }
 
 void beginGathering(step_context &Step, const std::string &Name,
-                    group_state &Group) {
-  Group.Promotion.HostsRead = false;
-  Group.Promotion.ChangeCall = 0;
-  Group.Promotion.Statuses.clear();
+                    group_state &Group, std::uint64_t ClosedRevision) {
+  Group.Promotion.ClosedRevision = ClosedRevision;
   enterStage(Step, Name, Group, promotion_stage::Gathering);
   readHosts(Step, Group);
 }
@@ -199,7 +207,7 @@
                 const std::string &Primary) {
   Group.Promotion.Candidate = Primary;
   enterStage(Step, Name, Group, promotion_stage::Opening);
-  changeRecord(Step, Name, Group,
+  changeRecord(Step, Name, Group, Group.Promotion.ClosedRevision,
                {Group.Record->Generation + 1, Primary, true,
                 chooseElectors(Step.State, Step.Now)});
 }
@@ -346,34 +354,57 @@
       effects::probe_target{Promotion.Candidate, Name, Target->Entry.Endpoint});
 }
 
-void superviseGroup(step_context &Step, const std::string &Name,
-                    group_state &Group) {
-  promotion_state &Promotion = Group.Promotion;
+/// Starts a change of the record if the group needs one.
+void considerGroup(step_context &Step, const std::string &Name,
+                   group_state &Group) {
+  if (Group.Promotion.ChangeCall != 0 || Step.Now < Group.NextChangeAt)
+    return;
   if (!Group.Record) {
-    if (Promotion.ChangeCall == 0)
-      createRecord(Step, Name, Group);
+    createRecord(Step, Name, Group);
+    return;
+  }
+  if (Group.Record->Open) {
+    considerChange(Step, Name, Group);
+    considerElectors(Step, Name, Group);
     return;
   }
-  switch (Promotion.Stage) {
+  // A previous coordinator left the record closed, or an earlier change of it
+  // was not confirmed.
+  Group.Promotion = {};
+  Group.Promotion.StartedAt = Step.Now;
+  closeRecord(Step, Name, Group);
+}
+
+/// Ends a promotion whose closed record was changed by another one.
+/// \returns Whether it was ended.
+bool abandonIfChanged(step_context &Step, const std::string &Name,
+                      group_state &Group) {
+  if (Group.Revision == Group.Promotion.ClosedRevision)
+    return false;
+  logLine(Step, "promotion.abandoned",
+          {{"group", Name},
+           {"stage", std::string(enumName(Group.Promotion.Stage))},
+           {"generation", std::to_string(Group.Record->Generation)}});
+  Group.Promotion = {};
+  return true;
+}
+
+void superviseGroup(step_context &Step, const std::string &Name,
+                    group_state &Group) {
+  switch (Group.Promotion.Stage) {
   case promotion_stage::None:
-    if (!Group.Record->Open) {
-      // A previous coordinator left the record closed.
-      Promotion = {};
-      Promotion.StartedAt = Step.Now;
-      beginGathering(Step, Name, Group);
-    } else {
-      considerChange(Step, Name, Group);
-      considerElectors(Step, Name, Group);
-    }
+    considerGroup(Step, Name, Group);
     return;
   case promotion_stage::Closing:
   case promotion_stage::Opening:
     return;
   case promotion_stage::Gathering:
-    awaitAcknowledgements(Step, Name, Group);
+    if (!abandonIfChanged(Step, Name, Group))
+      awaitAcknowledgements(Step, Name, Group);
     return;
   case promotion_stage::Choosing:
-    chooseReplica(Step, Name, Group);
+    if (!abandonIfChanged(Step, Name, Group))
+      chooseReplica(Step, Name, Group);
     return;
   case promotion_stage::Ordered:
     awaitPromotion(Step, Name, Group);
@@ -408,6 +439,7 @@
       logUnconfirmedChange(Step, groupKey(Name), Event);
       // The watch delivers the current record, which decides the next stage.
       Promotion = {};
+      Group.NextChangeAt = Step.Now + RecordRetryDelay;
       return true;
     }
     const bool Closing = Promotion.Stage == promotion_stage::Closing;
@@ -417,7 +449,7 @@
     if (Creating)
       return true;
     if (Closing)
-      beginGathering(Step, Name, Group);
+      beginGathering(Step, Name, Group, Event.Revision);
     else
       enterStage(Step, Name, Group, promotion_stage::None);
     return true;
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -186,6 +186,9 @@
   unsigned PendingProbes = 0;
   call_number ChangeCall = 0;
   std::string ChangeValue; ///< Value that the pending change writes.
+  /// Store revision of the closed record as this promotion wrote it. A change
+  /// that was sent earlier expects an older one, so that it can't be made.
+  std::uint64_t ClosedRevision = 0;
   call_number HostsCall = 0;
   bool HostsRead = false; ///< Hosts were read since the record was closed.
   /// Start of the wait for each host that has not acknowledged.
@@ -219,6 +222,7 @@
   instant ReplicaReadAt{};
   instant PositionAskedAt{}; ///< Latest request for the primary's position.
   promotion_state Promotion;
+  instant NextChangeAt{}; ///< No change of the record is sent before then.
   bool PrimaryUnreachable = false; ///< This host cannot reach the primary.
   witness_state Witness;
   /// Closed generation for which this host stopped using the primary.
--- /dev/null
+++ b/tests/proxy/unconfirmed_change_tests.cpp
@@ -0,0 +1,147 @@
+/// Changes of the store that are not answered, and may be made later.
+#include "coordinator_driver.hpp"
+
+#include <proxy/state.hpp>
+
+using namespace session_test;
+
+namespace {
+
+/// A change of the group's record that the coordinator has requested.
+struct requested_change {
+  call_number Call = 0;
+  std::uint64_t ExpectedRevision = 0;
+  group_record Record;
+};
+
+std::optional<requested_change> takeGroupChange(host_driver &Driver) {
+  for (const auto &Change : Driver.takeEffects<effects::change_records>())
+    for (const auto &Write : Change.Writes)
+      if (Write.Key.starts_with(GroupsPrefix))
+        if (const auto Record = parseGroupRecord(Write.Value))
+          return requested_change{Change.Call, Change.Expected.front().second,
+                                  *Record};
+  return std::nullopt;
+}
+
+void confirm(host_driver &Driver, const requested_change &Change) {
+  Driver.send(events::change_ended{Change.Call, change_outcome::Done,
+                                   ++Driver.Revision});
+}
+
+void leaveUnanswered(host_driver &Driver, const requested_change &Change) {
+  Driver.send(events::change_ended{Change.Call, change_outcome::Unknown, 0});
+}
+
+/// Answers the read of the hosts: this host is the only one, and it has
+/// acknowledged the closed generation.
+void acknowledge(host_driver &Driver, std::uint64_t Generation) {
+  host_record Own;
+  Own.PeerEndpoint = {"10.0.0.1", 7560};
+  Own.AcknowledgedClosures[Group] = Generation;
+  for (const auto &Read : Driver.takeEffects<effects::read_records>())
+    Driver.send(events::records_read{
+        Read.Call,
+        Read.Prefix,
+        {{"hosts/host-1", formatRecord(Own), ++Driver.Revision, 7}},
+        true,
+        ++Driver.Revision});
+}
+
+void answerProbes(host_driver &Driver) {
+  for (const auto &Probe : Driver.takeEffects<effects::probe_target>())
+    Driver.send(events::target_probed{
+        Probe.Target, target_status{Probe.Target == "a", {1, 90}, 1}});
+}
+
+/// Lets the coordinator go on for a while. All targets answer.
+/// \returns Whether it has ordered a promotion.
+bool ordersPromotion(host_driver &Driver, duration Span) {
+  const instant End = Driver.Now + Span;
+  while (Driver.Now < End) {
+    Driver.grantLease(7);
+    Driver.advanceTime(20ms);
+    acknowledge(Driver, Driver.Host->Groups.at(Group).Record->Generation);
+    answerProbes(Driver);
+  }
+  return !Driver.takeEffects<effects::order_promotion>().empty();
+}
+
+/// A coordinator whose change that opens the record again, after electors were
+/// replaced, was not answered.
+/// \returns The change.
+requested_change loseReopening(host_driver &Driver) {
+  Driver.Electors = {"host-1", "host-7"};
+  becomeCoordinator(Driver);
+  std::optional<requested_change> Closing;
+  for (int Second = 0; Second < 20 && !Closing; ++Second) {
+    Driver.advanceTime(1s);
+    Driver.grantLease(7);
+    Closing = takeGroupChange(Driver);
+  }
+  REQUIRE(Closing);
+  confirm(Driver, *Closing);
+  acknowledge(Driver, Closing->Record.Generation);
+  Driver.advanceTime(20ms);
+  const auto Opening = takeGroupChange(Driver);
+  REQUIRE(Opening);
+  REQUIRE(Opening->Record.Open);
+  leaveUnanswered(Driver, *Opening);
+  return *Opening;
+}
+
+} // namespace
+
+TEST_CASE("No order is given while an unanswered change may still open the "
+          "record") {
+  // Guards against two primaries in use: the store opened the record for the
+  // old primary after the order to promote another target.
+  host_driver Driver;
+  const requested_change Opening = loseReopening(Driver);
+  CHECK_FALSE(ordersPromotion(Driver, 1s));
+  const auto Closing = takeGroupChange(Driver);
+  REQUIRE(Closing);
+  CHECK_FALSE(Closing->Record.Open);
+  CHECK(Closing->Record.Generation + 1 == Opening.Record.Generation);
+  CHECK(Closing->ExpectedRevision == Opening.ExpectedRevision);
+}
+
+TEST_CASE("A change of the record that is made late ends the promotion") {
+  host_driver Driver;
+  const requested_change Opening = loseReopening(Driver);
+  Driver.advanceTime(400ms);
+  const auto Closing = takeGroupChange(Driver);
+  REQUIRE(Closing);
+  Driver.send(events::change_ended{Closing->Call, change_outcome::Conflict, 0});
+  Driver.writeGroupRecord("a", Opening.Record.Generation, true);
+  CHECK_FALSE(ordersPromotion(Driver, 1s));
+  CHECK_FALSE(takeGroupChange(Driver));
+}
+
+TEST_CASE("A record that a previous coordinator left closed is written again "
+          "before an order") {
+  // The previous coordinator may have sent a change that opens it.
+  host_driver Driver;
+  becomeCoordinator(Driver);
+  Driver.writeGroupRecord("a", 2, false);
+  const std::uint64_t LeftAt = Driver.Revision;
+  CHECK_FALSE(ordersPromotion(Driver, 1s));
+  const auto Closing = takeGroupChange(Driver);
+  REQUIRE(Closing);
+  CHECK(Closing->Record.Generation == 2);
+  CHECK(Closing->ExpectedRevision == LeftAt);
+  confirm(Driver, *Closing);
+  CHECK(ordersPromotion(Driver, 1s));
+}
+
+TEST_CASE("A promotion ends when another coordinator has changed the record") {
+  host_driver Driver;
+  becomeCoordinator(Driver);
+  Driver.writeGroupRecord("a", 2, false);
+  Driver.advanceTime(20ms);
+  const auto Closing = takeGroupChange(Driver);
+  REQUIRE(Closing);
+  confirm(Driver, *Closing);
+  Driver.writeGroupRecord("a", 3, true);
+  CHECK_FALSE(ordersPromotion(Driver, 1s));
+}
