Keep the primary when a replacement of electors was left unfinished

Cause: why a record was closed was known only to the process that closed it. A record closed to replace electors, whose reopening was not answered, led to a promotion by the same or by the next coordinator. The coordinator's log shows electors.refresh, the unconfirmed change, Choosing and Ordered, without any report about the primary.

Change: the closed record says that the primary stays. No promotion is ordered in such a generation, so whoever finds the record opens it for that primary.

Ruled out: opening it if the old primary answers, as an order of a previous coordinator may be under way.

Conclusion: mended; a record closed for a change of primary still leads to one.

--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -123,9 +123,9 @@
   enterStage(Step, Name, Group, promotion_stage::Closing);
   const std::uint64_t Generation =
       Group.Record->Generation + (Group.Record->Open ? 1 : 0);
-  changeRecord(
-      Step, Name, Group, Group.Revision,
-      {Generation, Group.Record->Primary, false, Group.Record->Electors});
+  changeRecord(Step, Name, Group, Group.Revision,
+               {Generation, Group.Record->Primary, false,
+                Group.Record->Electors, Group.Promotion.ReplacesElectors});
 }
 
 /// Starts a promotion if the group needs another primary and has a replica.
@@ -369,8 +369,10 @@
     return;
   }
   // A previous coordinator left the record closed, or an earlier change of it
-  // was not confirmed.
+  // was not confirmed. If it was closed to replace electors, no promotion was
+  // ordered, and the primary may be used again.
   Group.Promotion = {};
+  Group.Promotion.ReplacesElectors = Group.Record->PrimaryStays;
   Group.Promotion.StartedAt = Step.Now;
   closeRecord(Step, Name, Group);
 }
--- a/src/proxy/records.cpp
+++ b/src/proxy/records.cpp
@@ -40,12 +40,14 @@
 }
 
 std::string formatRecord(const group_record &Record) {
-  return json::serialize(
-      json::object{{"generation", Record.Generation},
-                   {"primary", Record.Primary},
-                   {"open", Record.Open},
-                   {"electors", json::array(Record.Electors.begin(),
-                                            Record.Electors.end())}});
+  json::object Object{{"generation", Record.Generation},
+                      {"primary", Record.Primary},
+                      {"open", Record.Open},
+                      {"electors", json::array(Record.Electors.begin(),
+                                               Record.Electors.end())}};
+  if (Record.PrimaryStays)
+    Object["primary_stays"] = true;
+  return json::serialize(Object);
 }
 
 std::string formatRecord(const host_record &Record) {
@@ -74,8 +76,10 @@
   if (!Generation || Primary == nullptr || !Primary->is_string() ||
       Open == nullptr || !Open->is_bool())
     return std::nullopt;
-  group_record Record{
-      *Generation, std::string(Primary->as_string()), Open->as_bool(), {}};
+  group_record Record{*Generation, std::string(Primary->as_string()),
+                      Open->as_bool()};
+  if (const json::value *Stays = Object->if_contains("primary_stays"))
+    Record.PrimaryStays = Stays->is_bool() && Stays->as_bool();
   if (const json::value *List = Object->if_contains("electors");
       List != nullptr && List->is_array())
     for (const json::value &Elector : List->as_array())
--- a/src/proxy/records.hpp
+++ b/src/proxy/records.hpp
@@ -25,6 +25,9 @@
   bool Open = true; ///< False (closed): no host may use the primary.
   /// Hosts whose votes allow the use of this generation during a store outage.
   std::vector<std::string> Electors = {};
+  /// Closed to replace electors only: in this generation no promotion may be
+  /// ordered, and the primary is used again when the record is opened.
+  bool PrimaryStays = false;
 };
 
 /// \brief A live host. The store removes the record when its lease ends.
--- a/tests/proxy/unconfirmed_change_tests.cpp
+++ b/tests/proxy/unconfirmed_change_tests.cpp
@@ -118,6 +118,42 @@
   CHECK_FALSE(takeGroupChange(Driver));
 }
 
+TEST_CASE("A lost answer while electors are replaced leaves the primary") {
+  // Guards against a needless change of primary.
+  host_driver Driver;
+  const requested_change Opening = loseReopening(Driver);
+  Driver.advanceTime(400ms);
+  const auto Closing = takeGroupChange(Driver);
+  REQUIRE(Closing);
+  confirm(Driver, *Closing);
+  CHECK_FALSE(ordersPromotion(Driver, 200ms));
+  const auto Reopening = takeGroupChange(Driver);
+  REQUIRE(Reopening);
+  CHECK(Reopening->Record.Open);
+  CHECK(Reopening->Record.Primary == "a");
+  CHECK(Reopening->Record.Generation == Opening.Record.Generation);
+}
+
+TEST_CASE("Another coordinator completes a replacement of electors") {
+  // Guards against a needless change of primary after a coordinator's end.
+  host_driver Driver;
+  becomeCoordinator(Driver);
+  Driver.send(events::record_changed{
+      {std::string(GroupsPrefix) + Group,
+       formatRecord(group_record{2, "a", false, Driver.Electors, true}),
+       ++Driver.Revision, 0}});
+  Driver.advanceTime(20ms);
+  const auto Closing = takeGroupChange(Driver);
+  REQUIRE(Closing);
+  CHECK(Closing->Record.PrimaryStays);
+  confirm(Driver, *Closing);
+  CHECK_FALSE(ordersPromotion(Driver, 200ms));
+  const auto Reopening = takeGroupChange(Driver);
+  REQUIRE(Reopening);
+  CHECK(Reopening->Record.Primary == "a");
+  CHECK_FALSE(Reopening->Record.PrimaryStays);
+}
+
 TEST_CASE("A record that a previous coordinator left closed is written again "
           "before an order") {
   // The previous coordinator may have sent a change that opens it.
