Take the coordinator role from the key in the store, not from the answer

Cause: the host whose claim had been carried out without an answer did not know that it was the coordinator, and all hosts waited for the holder of the key.

Change: a host has the role while the key names it and is bound to its present lease, whether it learns so from the answer or from the watch. The role ends at once with the key. A claim that is confirmed after its lease ended gives no role.

Ruled out: claiming again with the own revision as condition, which is another call that may be lost.

--- a/src/proxy/coordinator.cpp
+++ b/src/proxy/coordinator.cpp
@@ -1,5 +1,8 @@
 /// The coordinator role. The host that holds the role's key in the store, bound
 /// to its lease, is the only one that orders promotions.
+///
+/// The key as the store holds it decides who has the role, and not the answer
+/// to the claim: that may be lost, and the claim may be carried out late.
 #include "parts.hpp"
 
 #include <algorithm>
@@ -24,6 +27,27 @@
   return ClaimSpacing * std::min<std::ptrdiff_t>(Rank, 8);
 }
 
+/// Whether the role's key is bound to this host's present lease.
+bool ownsKey(const host &State) {
+  return State.Lease.Id != 0 &&
+         State.Coordinator.Holder == State.Identity.Name &&
+         State.Coordinator.HolderLease == State.Lease.Id;
+}
+
+void takeRole(step_context &Step) {
+  coordinator_state &Role = Step.State.Coordinator;
+  Role.IsHeld = true;
+  Role.FencingToken = Role.Revision;
+  Role.OrdersFrom = Step.Now + MaxOrderDelay;
+  logLine(Step, "duty.held", {{"token", std::to_string(Role.FencingToken)}});
+}
+
+void loseRole(step_context &Step) {
+  coordinator_state &Role = Step.State.Coordinator;
+  Role.IsHeld = false;
+  logLine(Step, "duty.lost", {{"token", std::to_string(Role.FencingToken)}});
+}
+
 bool canClaim(const host &State) {
   return State.Lease.Id != 0 && State.Lease.GroupsRead &&
          !State.Lease.RegisteredValue.empty() && !State.Stopping;
@@ -36,16 +60,34 @@
          Now + OrderLeaseMargin < State.Lease.ValidUntil;
 }
 
+void coordinatorChanged(step_context &Step, const store_record &Record) {
+  host &State = Step.State;
+  coordinator_state &Role = State.Coordinator;
+  if (Record.Revision <= Role.Revision)
+    return;
+  Role.Holder = Record.Value;
+  Role.HolderLease = Record.Lease;
+  Role.Revision = Record.Revision;
+  if (Role.IsHeld)
+    loseRole(Step);
+  if (ownsKey(State) && !State.Stopping)
+    takeRole(Step);
+}
+
+void coordinatorRemoved(step_context &Step, std::uint64_t Revision) {
+  coordinator_state &Role = Step.State.Coordinator;
+  if (Revision <= Role.Revision)
+    return;
+  Role.Holder.clear();
+  Role.Revision = Revision;
+  if (Role.IsHeld)
+    loseRole(Step);
+}
+
 void superviseCoordinatorRole(step_context &Step) {
   host &State = Step.State;
   coordinator_state &Role = State.Coordinator;
-  if (Role.IsHeld && Role.Holder.empty() && Role.ClaimCall == 0 &&
-      Step.Now > Role.NextClaimAt) {
-    Role.IsHeld = false;
-    logLine(Step, "duty.lost", {{"token", std::to_string(Role.FencingToken)}});
-  }
-  if (Role.IsHeld || !Role.Holder.empty() || Role.ClaimCall != 0 ||
-      !canClaim(State)) {
+  if (!Role.Holder.empty() || Role.ClaimCall != 0 || !canClaim(State)) {
     if (!Role.Holder.empty())
       Role.NextClaimAt = Step.Now + claimDelay(State);
     return;
@@ -56,9 +98,10 @@
   if (Step.Now < Role.NextClaimAt)
     return;
   Role.ClaimCall = nextNumber(State);
+  Role.ClaimLease = State.Lease.Id;
   effects::change_records Change;
   Change.Call = Role.ClaimCall;
-  Change.Lease = State.Lease.Id;
+  Change.Lease = Role.ClaimLease;
   Change.Expected.emplace_back(std::string(CoordinatorKey), 0);
   Change.Writes.push_back(
       {std::string(CoordinatorKey), State.Identity.Name, true});
@@ -72,17 +115,12 @@
     return false;
   Role.ClaimCall = 0;
   Role.NextClaimAt = Step.Now + ClaimRetryDelay;
-  if (Event.Outcome != change_outcome::Done) {
+  if (Event.Outcome == change_outcome::Done)
+    coordinatorChanged(Step,
+                       {std::string(CoordinatorKey), Step.State.Identity.Name,
+                        Event.Revision, Role.ClaimLease});
+  else
     logUnconfirmedChange(Step, CoordinatorKey, Event);
-    return true;
-  }
-  Role.IsHeld = true;
-  Role.Holder = Step.State.Identity.Name;
-  Role.FencingToken = Event.Revision;
-  Role.Revision = Event.Revision;
-  Role.OrdersFrom = Step.Now + MaxOrderDelay;
-  Role.NextClaimAt = Step.Now + Step.State.Lease.TimeToLive;
-  logLine(Step, "duty.held", {{"token", std::to_string(Role.FencingToken)}});
   return true;
 }
 
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -222,6 +222,9 @@
                                             const std::string &Group);
 
 // Coordinator role and promotions (coordinator.cpp, promotion.cpp).
+void coordinatorChanged(step_context &Step, const store_record &Record);
+/// \param Revision Store revision of the removal of the role's key.
+void coordinatorRemoved(step_context &Step, std::uint64_t Revision);
 void superviseCoordinatorRole(step_context &Step);
 [[nodiscard]] bool coordinatorChangeEnded(step_context &Step,
                                           const events::change_ended &Event);
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -163,20 +163,6 @@
   acknowledgeClosed(Step, Group);
 }
 
-void coordinatorChanged(coordinator_state &Role, const store_record &Record) {
-  if (Record.Revision <= Role.Revision)
-    return;
-  Role.Holder = Record.Value;
-  Role.Revision = Record.Revision;
-}
-
-void coordinatorRemoved(coordinator_state &Role, std::uint64_t Revision) {
-  if (Revision <= Role.Revision)
-    return;
-  Role.Holder.clear();
-  Role.Revision = Revision;
-}
-
 /// The store removes this host's own record when its lease ends.
 void ownRecordRemoved(step_context &Step, std::uint64_t Revision) {
   const lease_state &Lease = Step.State.Lease;
@@ -261,7 +247,7 @@
   else if (Key.starts_with(HostsPrefix))
     hostChanged(Step, std::string(Key.substr(HostsPrefix.size())), Record);
   else if (Key == CoordinatorKey)
-    coordinatorChanged(Step.State.Coordinator, Record);
+    coordinatorChanged(Step, Record);
 }
 
 void recordRemoved(step_context &Step, const events::record_removed &Event) {
@@ -270,7 +256,7 @@
     if (Event.Key == ownKey(Step.State))
       ownRecordRemoved(Step, Event.Revision);
   } else if (Event.Key == CoordinatorKey) {
-    coordinatorRemoved(Step.State.Coordinator, Event.Revision);
+    coordinatorRemoved(Step, Event.Revision);
   }
 }
 
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -272,13 +272,19 @@
   bool HasReadGroups = false;
 };
 
+/// Invariant: IsHeld only while Holder is this host, HolderLease its lease, and
+/// FencingToken is Revision.
 struct coordinator_state {
   std::string Holder; ///< Host that is coordinator, or empty.
   std::uint64_t Revision = 0;
+  std::uint64_t HolderLease = 0; ///< Lease that the role's key is bound to.
   bool IsHeld = false;
   std::uint64_t FencingToken = 0;
   instant OrdersFrom{}; ///< Orders of the previous coordinator arrive by then.
   call_number ClaimCall = 0;
+  std::uint64_t ClaimLease = 0; ///< Lease of the pending claim.
+  call_number ReturnCall = 0;   ///< Pending removal of the own key.
+  instant NextReturnAt{};
   instant NextClaimAt{};
 };
 
--- a/tests/proxy/unconfirmed_change_tests.cpp
+++ b/tests/proxy/unconfirmed_change_tests.cpp
@@ -90,6 +90,24 @@
   return *Opening;
 }
 
+/// Lets the host claim the coordinator role, which no host holds.
+/// \returns The call of the claim.
+call_number takeClaim(host_driver &Driver) {
+  Driver.becomeReady();
+  Driver.removeRecord(std::string(CoordinatorKey));
+  Driver.advanceTime(700ms);
+  Driver.grantLease(7);
+  for (const auto &Change : Driver.takeEffects<effects::change_records>())
+    if (Change.Writes.front().Key == CoordinatorKey)
+      return Change.Call;
+  FAIL("the host did not claim the role");
+  return 0;
+}
+
+bool holdsRole(const host_driver &Driver) {
+  return Driver.Host->Coordinator.IsHeld;
+}
+
 } // namespace
 
 TEST_CASE("No order is given while an unanswered change may still open the "
@@ -181,3 +199,43 @@
   Driver.writeGroupRecord("a", 3, true);
   CHECK_FALSE(ordersPromotion(Driver, 1s));
 }
+
+TEST_CASE("A claim of the coordinator role whose answer was lost is in force") {
+  // Guards against a fleet without a coordinator as long as the host that holds
+  // the key lives.
+  host_driver Driver;
+  const call_number Claim = takeClaim(Driver);
+  Driver.send(events::change_ended{Claim, change_outcome::Unknown, 0});
+  CHECK_FALSE(holdsRole(Driver));
+  Driver.send(events::record_changed{
+      {std::string(CoordinatorKey), "host-1", ++Driver.Revision, 7}});
+  CHECK(holdsRole(Driver));
+  CHECK(Driver.Host->Coordinator.FencingToken == Driver.Revision);
+}
+
+TEST_CASE("A key of the coordinator role under an earlier lease is not held") {
+  // It belongs to an earlier process or lease, and disappears with that.
+  host_driver Driver;
+  const call_number Claim = takeClaim(Driver);
+  Driver.send(events::change_ended{Claim, change_outcome::Unknown, 0});
+  Driver.send(events::record_changed{
+      {std::string(CoordinatorKey), "host-1", ++Driver.Revision, 6}});
+  CHECK_FALSE(holdsRole(Driver));
+}
+
+TEST_CASE("A claim that is confirmed after its lease was lost is not held") {
+  host_driver Driver;
+  const call_number Claim = takeClaim(Driver);
+  Driver.grantLease(8);
+  Driver.send(
+      events::change_ended{Claim, change_outcome::Done, ++Driver.Revision});
+  CHECK_FALSE(holdsRole(Driver));
+}
+
+TEST_CASE("The coordinator role ends when its key is removed") {
+  host_driver Driver;
+  becomeCoordinator(Driver);
+  REQUIRE(holdsRole(Driver));
+  Driver.removeRecord(std::string(CoordinatorKey));
+  CHECK_FALSE(holdsRole(Driver));
+}
