Repeat the return of the coordinator role until the store confirms it

Cause: the key of the role was removed once, whatever the outcome.

Change: a host that stops removes the key while the store shows it under the host's own lease, also if a claim is carried out late.

Ruled out: ending the lease at once instead, as the host still uses primaries for its open transactions.

Conclusion: mended as far as tests show.

--- a/src/proxy/coordinator.cpp
+++ b/src/proxy/coordinator.cpp
@@ -16,7 +16,7 @@
 constexpr duration MaxOrderDelay = std::chrono::milliseconds(700);
 /// Hosts claim a free role one after the other, with this delay between them.
 constexpr duration ClaimSpacing = std::chrono::milliseconds(60);
-/// Delay after a claim that failed.
+/// Delay after a claim or a return of the role that failed.
 constexpr duration ClaimRetryDelay = std::chrono::milliseconds(300);
 /// The lease must be valid for this much longer when an order is sent.
 constexpr duration OrderLeaseMargin = std::chrono::milliseconds(300);
@@ -48,6 +48,20 @@
   logLine(Step, "duty.lost", {{"token", std::to_string(Role.FencingToken)}});
 }
 
+/// Handles the answer to the removal of this host's own key.
+void returnEnded(step_context &Step, const events::change_ended &Event) {
+  coordinator_state &Role = Step.State.Coordinator;
+  Role.ReturnCall = 0;
+  Role.NextReturnAt = Step.Now + ClaimRetryDelay;
+  if (Event.Outcome != change_outcome::Done) {
+    logUnconfirmedChange(Step, CoordinatorKey, Event);
+    return;
+  }
+  coordinatorRemoved(Step, Event.Revision);
+  logLine(Step, "duty.returned",
+          {{"token", std::to_string(Role.FencingToken)}});
+}
+
 bool canClaim(const host &State) {
   return State.Lease.Id != 0 && State.Lease.GroupsRead &&
          !State.Lease.RegisteredValue.empty() && !State.Stopping;
@@ -84,9 +98,25 @@
     loseRole(Step);
 }
 
+void returnCoordinatorRole(step_context &Step) {
+  host &State = Step.State;
+  coordinator_state &Role = State.Coordinator;
+  if (!ownsKey(State) || Role.ReturnCall != 0 || Step.Now < Role.NextReturnAt)
+    return;
+  Role.IsHeld = false;
+  Role.ReturnCall = nextNumber(State);
+  effects::change_records Change;
+  Change.Call = Role.ReturnCall;
+  Change.Expected.emplace_back(std::string(CoordinatorKey), Role.Revision);
+  Change.Deletes.emplace_back(CoordinatorKey);
+  Step.Out.push_back(std::move(Change));
+}
+
 void superviseCoordinatorRole(step_context &Step) {
   host &State = Step.State;
   coordinator_state &Role = State.Coordinator;
+  if (State.Stopping)
+    returnCoordinatorRole(Step);
   if (!Role.Holder.empty() || Role.ClaimCall != 0 || !canClaim(State)) {
     if (!Role.Holder.empty())
       Role.NextClaimAt = Step.Now + claimDelay(State);
@@ -111,6 +141,10 @@
 bool coordinatorChangeEnded(step_context &Step,
                             const events::change_ended &Event) {
   coordinator_state &Role = Step.State.Coordinator;
+  if (Event.Call != 0 && Event.Call == Role.ReturnCall) {
+    returnEnded(Step, Event);
+    return true;
+  }
   if (Event.Call == 0 || Event.Call != Role.ClaimCall)
     return false;
   Role.ClaimCall = 0;
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -226,6 +226,9 @@
 /// \param Revision Store revision of the removal of the role's key.
 void coordinatorRemoved(step_context &Step, std::uint64_t Revision);
 void superviseCoordinatorRole(step_context &Step);
+/// \brief Removes the role's key, if this host owns it, so that another host
+/// can claim the role without waiting for the end of the lease.
+void returnCoordinatorRole(step_context &Step);
 [[nodiscard]] bool coordinatorChangeEnded(step_context &Step,
                                           const events::change_ended &Event);
 /// \brief Whether this host is the coordinator and may give orders.
--- a/src/proxy/stopping.cpp
+++ b/src/proxy/stopping.cpp
@@ -45,17 +45,7 @@
   State.StoppedAt = Step.Now;
   logLine(Step, "host.stopping",
           {{"sessions", std::to_string(State.Sessions.size())}});
-  if (State.Coordinator.IsHeld) {
-    effects::change_records Change;
-    Change.Call = nextNumber(State);
-    Change.Expected.emplace_back(std::string(CoordinatorKey),
-                                 State.Coordinator.FencingToken);
-    Change.Deletes.emplace_back(CoordinatorKey);
-    Step.Out.push_back(std::move(Change));
-    State.Coordinator.IsHeld = false;
-    logLine(Step, "duty.returned",
-            {{"token", std::to_string(State.Coordinator.FencingToken)}});
-  }
+  returnCoordinatorRole(Step);
 }
 
 void superviseStop(step_context &Step) {
--- a/tests/proxy/unconfirmed_change_tests.cpp
+++ b/tests/proxy/unconfirmed_change_tests.cpp
@@ -104,6 +104,14 @@
   return 0;
 }
 
+/// The call that removes the key of the coordinator role, if there is one.
+std::optional<effects::change_records> takeReturn(host_driver &Driver) {
+  for (const auto &Change : Driver.takeEffects<effects::change_records>())
+    if (!Change.Deletes.empty() && Change.Deletes.front() == CoordinatorKey)
+      return Change;
+  return std::nullopt;
+}
+
 bool holdsRole(const host_driver &Driver) {
   return Driver.Host->Coordinator.IsHeld;
 }
@@ -239,3 +247,39 @@
   Driver.removeRecord(std::string(CoordinatorKey));
   CHECK_FALSE(holdsRole(Driver));
 }
+
+TEST_CASE("A host that stops repeats the return of the coordinator role until "
+          "it is confirmed") {
+  // Guards against a fleet without a coordinator for the whole grace period of
+  // a stop, after the store refused the call or its answer was lost.
+  host_driver Driver;
+  becomeCoordinator(Driver);
+  const std::uint64_t Token = Driver.Host->Coordinator.FencingToken;
+  Driver.send(events::stop_requested{});
+  for (const change_outcome Outcome :
+       {change_outcome::Rejected, change_outcome::Unknown}) {
+    const auto Return = takeReturn(Driver);
+    REQUIRE(Return);
+    CHECK(Return->Expected.front().second == Token);
+    Driver.send(events::change_ended{Return->Call, Outcome, 0});
+    Driver.advanceTime(400ms);
+  }
+  const auto Last = takeReturn(Driver);
+  REQUIRE(Last);
+  Driver.send(events::change_ended{Last->Call, change_outcome::Done,
+                                   ++Driver.Revision});
+  Driver.advanceTime(400ms);
+  CHECK_FALSE(takeReturn(Driver));
+}
+
+TEST_CASE("A claim that is carried out while the host stops is returned") {
+  host_driver Driver;
+  const call_number Claim = takeClaim(Driver);
+  Driver.send(events::change_ended{Claim, change_outcome::Unknown, 0});
+  Driver.send(events::stop_requested{});
+  Driver.send(events::record_changed{
+      {std::string(CoordinatorKey), "host-1", ++Driver.Revision, 7}});
+  CHECK_FALSE(holdsRole(Driver));
+  Driver.advanceTime(20ms);
+  CHECK(takeReturn(Driver));
+}
