Log what the targets answered when a replica is chosen

Cause: the log named the replica that is promoted and not what it was compared with, so that it could not tell a replica that was silent from one that was passed over.

Change: promotion.chosen lists role, position, term and draining of each target that answered, and how many did not. The choice moves to candidates.cpp, as it is.

--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -240,6 +240,21 @@
 void promotionAnswered(step_context &Step,
                        const events::promotion_answered &Event);
 
+// Choice of the next primary (candidates.cpp).
+using probed_target = std::pair<const std::string, target_status>;
+/// \brief The replica with the highest received position among those that
+/// answered and may be promoted. \returns Null when there is none.
+[[nodiscard]] const probed_target *bestReplica(const host &State,
+                                               const group_state &Group);
+/// \brief The replica that became primary by an earlier order. A primary of an
+/// earlier term still calls itself one while it cannot reach its successor.
+[[nodiscard]] std::optional<std::string>
+promotedReplica(const promotion_state &Promotion,
+                const std::string &OldPrimary);
+/// \brief What the group's targets answered, for the log.
+[[nodiscard]] std::string describeStatuses(const host &State,
+                                           const promotion_state &Promotion);
+
 // Rates of client accounts (rates.cpp).
 /// \brief Takes a token for an operation, or requests tokens from another host.
 /// \returns False when there is no token.
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -252,6 +252,12 @@
 
 void orderPromotion(step_context &Step, const std::string &Name,
                     group_state &Group, const std::string &Candidate) {
+  logLine(Step, "promotion.chosen",
+          {{"group", Name},
+           {"candidate", Candidate},
+           {"primary", Group.Record->Primary},
+           {"statuses", describeStatuses(Step.State, Group.Promotion)},
+           {"unanswered", std::to_string(Group.Promotion.PendingProbes)}});
   Group.Promotion.Candidate = Candidate;
   enterStage(Step, Name, Group, promotion_stage::Ordered);
   Group.Promotion.NextTryAt = Step.Now + MinPromotionTime;
@@ -260,36 +266,6 @@
                                Step.State.Coordinator.FencingToken});
 }
 
-/// The replica with the highest received position among those that may be
-/// promoted.
-const std::pair<const std::string, target_status> *
-bestReplica(const host &State, const group_state &Group) {
-  const std::pair<const std::string, target_status> *Best = nullptr;
-  for (const auto &Entry : Group.Promotion.Statuses) {
-    const auto Target = State.Targets.find(Entry.first);
-    if (Entry.first == Group.Record->Primary || Target == State.Targets.end() ||
-        Target->second.Entry.Draining ||
-        Group.Promotion.RefusedCandidates.contains(Entry.first))
-      continue;
-    if (Best == nullptr || Entry.second.Received > Best->second.Received)
-      Best = &Entry;
-  }
-  return Best;
-}
-
-/// The replica that became primary by an earlier order. A primary of an earlier
-/// term still calls itself one while it cannot reach its successor.
-std::optional<std::string> promotedReplica(const promotion_state &Promotion,
-                                           const std::string &OldPrimary) {
-  std::uint64_t LatestTerm = 0;
-  for (const auto &[Id, Status] : Promotion.Statuses)
-    LatestTerm = std::max(LatestTerm, Status.Term);
-  for (const auto &[Id, Status] : Promotion.Statuses)
-    if (Id != OldPrimary && Status.IsPrimary && Status.Term == LatestTerm)
-      return Id;
-  return std::nullopt;
-}
-
 void chooseReplica(step_context &Step, const std::string &Name,
                    group_state &Group) {
   promotion_state &Promotion = Group.Promotion;
