Promote a draining replica if it alone has the newest commits

Change: after the loss of a primary the highest position decides, and draining only between equal ones. A planned change still leaves draining replicas out.

Ruled out: an answer that came too late, as both were there.

--- a/src/proxy/candidates.cpp
+++ b/src/proxy/candidates.cpp
@@ -5,15 +5,30 @@
 
 namespace bronzespar::proxy {
 
+namespace {
+
+bool isDraining(const host &State, const std::string &Id) {
+  const auto Target = State.Targets.find(Id);
+  return Target == State.Targets.end() || Target->second.Entry.Draining;
+}
+
+} // namespace
+
 const probed_target *bestReplica(const host &State, const group_state &Group) {
   const probed_target *Best = nullptr;
-  for (const auto &Entry : Group.Promotion.Statuses) {
-    const auto Target = State.Targets.find(Entry.first);
-    if (Entry.first == Group.Record->Primary || Target == State.Targets.end() ||
-        Target->second.Entry.Draining ||
-        Group.Promotion.RefusedCandidates.contains(Entry.first))
+  for (const probed_target &Entry : Group.Promotion.Statuses) {
+    if (Entry.first == Group.Record->Primary ||
+        !State.Targets.contains(Entry.first) ||
+        Group.Promotion.RefusedCandidates.contains(Entry.first) ||
+        (Group.Promotion.Planned && isDraining(State, Entry.first)))
       continue;
-    if (Best == nullptr || Entry.second.Received > Best->second.Received)
+    // After the loss of a primary, a draining replica is the better one if the
+    // others lack commits, although it has to be replaced soon.
+    const bool IsBetter =
+        Best == nullptr || Entry.second.Received > Best->second.Received ||
+        (Entry.second.Received == Best->second.Received &&
+         isDraining(State, Best->first) && !isDraining(State, Entry.first));
+    if (IsBetter)
       Best = &Entry;
   }
   return Best;
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -106,14 +106,16 @@
                                   Count.Witnesses * recentHosts(State, Now);
 }
 
+/// Whether there is a replica that may be promoted. A draining one does not
+/// help a primary that drains itself.
 bool replicaListed(const host &State, const std::string &Name,
-                   const std::string &Primary) {
-  return std::any_of(State.Targets.begin(), State.Targets.end(),
-                     [&](const auto &Entry) {
-                       const target_view &Target = Entry.second;
-                       return Target.Listed && Target.Entry.Group == Name &&
-                              !Target.Entry.Draining && Entry.first != Primary;
-                     });
+                   const std::string &Primary, bool Planned) {
+  return std::any_of(
+      State.Targets.begin(), State.Targets.end(), [&](const auto &Entry) {
+        const target_view &Target = Entry.second;
+        return Target.Listed && Target.Entry.Group == Name &&
+               !(Planned && Target.Entry.Draining) && Entry.first != Primary;
+      });
 }
 
 /// Writes the closed record. One that is closed already keeps its generation,
@@ -137,12 +139,12 @@
       Primary == nullptr || !Primary->Listed || Primary->Entry.Draining;
   const bool Unreachable =
       isPrimaryUnreachable(Step.State, Name, Group, Step.Now);
+  const bool Planned = !Unreachable && Primary != nullptr && Primary->Listed;
   if ((!UnlistedOrDraining && !Unreachable) ||
-      !replicaListed(Step.State, Name, Group.Record->Primary))
+      !replicaListed(Step.State, Name, Group.Record->Primary, Planned))
     return;
   Group.Promotion = {};
-  Group.Promotion.Planned =
-      !Unreachable && Primary != nullptr && Primary->Listed;
+  Group.Promotion.Planned = Planned;
   Group.Promotion.StartedAt = Step.Now;
   logLine(Step, "promotion.begun",
           {{"group", Name},
