Promote a replica only if it holds all confirmed commits

Cause: SyncReplicas was not read. The best of the replicas that answered within 350 ms was promoted, however few they were, and in a planned change after 1.5 s also one that was behind the primary.

Change: ConfirmingReplicas of a group. A candidate needs the highest position among N - S + 1 of the N replicas, or the position of the old primary itself. Replicas that drain or have left the list count for a time. Without such a candidate the primary is used again, and a planned change is repeated after 2 s.

Ruled out: positions collected from the hosts, which a host lost with the primary takes along; counting only listed replicas.

Conclusion: mended for up to N - S lost replicas. Groups with SyncReplicas 0 behave as before.

--- a/include/bronzespar/proxy/settings.hpp
+++ b/include/bronzespar/proxy/settings.hpp
@@ -41,6 +41,8 @@
 
 struct group_limits {
   unsigned MaxConnections = 1; ///< To each target, from all hosts together.
+  /// Replicas that have received a commit before the primary acknowledges it.
+  unsigned ConfirmingReplicas = 0;
 };
 
 /// \brief One version of the operators' settings.
--- a/src/proxy/listing.cpp
+++ b/src/proxy/listing.cpp
@@ -94,6 +94,7 @@
       continue;
     Target.Listed = false;
     logTarget(Step, "target.gone", Target.Entry);
+    targetDeparted(Step, Target.Entry);
   }
   const auto Erased = std::erase_if(State.Targets, [](const auto &Entry) {
     return !Entry.second.Listed && Entry.second.Connections == 0;
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -241,11 +241,22 @@
                        const events::promotion_answered &Event);
 
 // Choice of the next primary (candidates.cpp).
+/// \brief Remembers a target that left the list, as it may hold commits that
+/// the group's other replicas lack.
+void targetDeparted(step_context &Step, const target_entry &Entry);
 using probed_target = std::pair<const std::string, target_status>;
 /// \brief The replica with the highest received position among those that
 /// answered and may be promoted. \returns Null when there is none.
 [[nodiscard]] const probed_target *bestReplica(const host &State,
                                                const group_state &Group);
+/// \brief Whether a candidate, the best of the replicas that answered, is known
+/// to hold all acknowledged commits.
+/// \remarks Always true where commits are acknowledged without replicas.
+[[nodiscard]] bool holdsAcknowledgedCommits(const host &State,
+                                            const std::string &Name,
+                                            const group_state &Group,
+                                            const target_status &Candidate,
+                                            instant Now);
 /// \brief The replica that became primary by an earlier order. A primary of an
 /// earlier term still calls itself one while it cannot reach its successor.
 [[nodiscard]] std::optional<std::string>
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -26,8 +26,11 @@
 constexpr duration MaxPromotionTime = std::chrono::milliseconds(3500);
 /// A planned change waits this long for a replica to catch up.
 constexpr duration CatchUpTimeout = std::chrono::milliseconds(1500);
-/// If no replica answers for this long, the old primary is used again.
+/// If no replica can be promoted for this long, the old primary is used again.
 constexpr duration NoReplicaTimeout = std::chrono::milliseconds(4000);
+/// Delay after a planned change for which no replica was ready. The primary is
+/// used meanwhile, as it serves until its drain ends.
+constexpr duration PlannedRetryDelay = std::chrono::seconds(2);
 /// For this long, an expired host counts as one that may reach the primary.
 constexpr duration ExpiredHostVotePeriod = std::chrono::seconds(5);
 /// The lease of a host that does not acknowledge in time is revoked.
@@ -141,6 +144,7 @@
       isPrimaryUnreachable(Step.State, Name, Group, Step.Now);
   const bool Planned = !Unreachable && Primary != nullptr && Primary->Listed;
   if ((!UnlistedOrDraining && !Unreachable) ||
+      (Planned && Step.Now < Group.NextPlannedChangeAt) ||
       !replicaListed(Step.State, Name, Group.Record->Primary, Planned))
     return;
   Group.Promotion = {};
@@ -268,6 +272,23 @@
                                Step.State.Coordinator.FencingToken});
 }
 
+/// Probes the targets again, and returns to the old primary when no replica
+/// can be promoted in time.
+void awaitReplica(step_context &Step, const std::string &Name,
+                  group_state &Group, duration Timeout) {
+  if (Step.Now > Group.Promotion.StageSince + Timeout) {
+    logLine(Step, "promotion.no_candidate",
+            {{"group", Name},
+             {"primary", Group.Record->Primary},
+             {"statuses", describeStatuses(Step.State, Group.Promotion)},
+             {"unanswered", std::to_string(Group.Promotion.PendingProbes)}});
+    Group.NextPlannedChangeAt = Step.Now + PlannedRetryDelay;
+    openRecord(Step, Name, Group, Group.Record->Primary);
+  } else if (Step.Now >= Group.Promotion.NextTryAt) {
+    probeMembers(Step, Name, Group);
+  }
+}
+
 void chooseReplica(step_context &Step, const std::string &Name,
                    group_state &Group) {
   promotion_state &Promotion = Group.Promotion;
@@ -290,10 +311,7 @@
   const bool Behind = OldAnswers && Best != nullptr &&
                       Best->second.Received < Old->second.Received;
   if (Best == nullptr) {
-    if (Step.Now > Promotion.StageSince + NoReplicaTimeout)
-      openRecord(Step, Name, Group, OldPrimary);
-    else if (Step.Now >= Promotion.NextTryAt)
-      probeMembers(Step, Name, Group);
+    awaitReplica(Step, Name, Group, NoReplicaTimeout);
     return;
   }
   if (Behind && Step.Now < Promotion.StageSince + CatchUpTimeout) {
@@ -301,6 +319,12 @@
       probeMembers(Step, Name, Group);
     return;
   }
+  if (!holdsAcknowledgedCommits(Step.State, Name, Group, Best->second,
+                                Step.Now)) {
+    awaitReplica(Step, Name, Group,
+                 OldAnswers ? CatchUpTimeout : NoReplicaTimeout);
+    return;
+  }
   if (!isCoordinator(Step.State, Step.Now) ||
       Step.Now < Step.State.Coordinator.OrdersFrom)
     return;
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -213,6 +213,13 @@
   std::optional<instant> SilentSince;
 };
 
+/// \brief A target that is no longer listed and may still hold commits.
+struct departed_target {
+  endpoint Endpoint;
+  instant LeftAt{};
+  bool WasDraining = false;
+};
+
 /// \brief This host's view of a group, and the group's promotion.
 struct group_state {
   std::optional<group_record> Record;
@@ -222,6 +229,9 @@
   instant ReplicaReadAt{};
   instant PositionAskedAt{}; ///< Latest request for the primary's position.
   promotion_state Promotion;
+  /// Targets that have left the list, by id; see candidates.cpp.
+  std::map<std::string, departed_target> Departed;
+  instant NextPlannedChangeAt{}; ///< No planned promotion begins before then.
   instant NextChangeAt{}; ///< No change of the record is sent before then.
   bool PrimaryUnreachable = false; ///< This host cannot reach the primary.
   witness_state Witness;
--- a/tests/platform/codec_tests.cpp
+++ b/tests/platform/codec_tests.cpp
@@ -31,7 +31,8 @@
     R"({"Version":7,"Routes":[{"Name":"r","Database":"xapu","Prefix":"/",)"
     R"("Type":"bounded_staleness","TimeoutMs":1200,"TargetLatencyMs":300,)"
     R"("Priority":2,"Backend":"huvo","RetryAttempts":2,"MaxStalenessMs":1500,)"
-    R"("Public":false}],"Services":[{"Name":"huvo","MaxConnections":16}],)"
+    R"("Public":false}],"Services":[{"Name":"huvo","MaxConnections":16,)"
+    R"("SyncReplicas":1}],)"
     R"("Limits":{"TxIdleMs":3000},"Tenants":[{"Name":"nypu",)"
     R"("ApiKeys":["u6ws"],"RatePerS":135,"Burst":100}]})";
 
@@ -124,6 +125,7 @@
   CHECK(Settings->Keys.at("u6ws") == "nypu");
   CHECK(Settings->Accounts.at("nypu").Burst == 100);
   CHECK(Settings->Groups.at("huvo").MaxConnections == 16);
+  CHECK(Settings->Groups.at("huvo").ConfirmingReplicas == 1);
   CHECK_FALSE(parseOperatorDocument("{\"Version\":7}", Fault));
   CHECK(Fault == "missing Routes");
 }
--- a/tests/proxy/candidate_tests.cpp
+++ b/tests/proxy/candidate_tests.cpp
@@ -9,6 +9,16 @@
 
 using statuses = std::map<std::string, target_status>;
 
+constexpr unsigned OneReplica = 1;
+
+/// Version 2 of the settings: commits are confirmed by a number of replicas.
+void requireConfirmation(host_driver &Driver, unsigned Replicas) {
+  proxy_settings Settings = *Driver.Host->Settings;
+  Settings.Version += 1;
+  Settings.Groups[Group].ConfirmingReplicas = Replicas;
+  Driver.send(events::settings_changed{Settings});
+}
+
 void listTargets(host_driver &Driver, const std::set<std::string> &Ids,
                  const std::set<std::string> &Draining = {}) {
   events::targets_listed Listed;
@@ -19,6 +29,13 @@
   Driver.send(Listed);
 }
 
+/// A coordinator of a group whose targets a, b and c require confirmation by a
+/// replica.
+void becomeCoordinatorOfConfirmed(host_driver &Driver) {
+  becomeCoordinator(Driver);
+  requireConfirmation(Driver, OneReplica);
+}
+
 void answerProbes(host_driver &Driver, const statuses &Statuses) {
   for (const auto &Probe : Driver.takeEffects<effects::probe_target>()) {
     const auto Found = Statuses.find(Probe.Target);
@@ -56,6 +73,7 @@
 }
 
 target_status replicaAt(std::uint64_t Index) { return {false, {1, Index}, 1}; }
+target_status primaryAt(std::uint64_t Index) { return {true, {1, Index}, 1}; }
 
 } // namespace
 
@@ -80,7 +98,69 @@
         "c");
 }
 
-TEST_CASE("A replica that alone answers is promoted") {
+TEST_CASE("A replica that may lack confirmed commits is not promoted") {
+  // Guards against the loss of acknowledged commits: the silent replica may be
+  // the one that confirmed them.
+  host_driver Driver;
+  becomeCoordinatorOfConfirmed(Driver);
+  reportUnreachable(Driver, "host-2", "a");
+  const statuses OnlyC = {{"c", replicaAt(40)}};
+  CHECK_FALSE(promote(Driver, 3s, OnlyC));
+  CHECK(promote(Driver, 3s, {{"b", replicaAt(90)}, {"c", replicaAt(40)}}) ==
+        "b");
+}
+
+TEST_CASE("A replica that left the list may have confirmed commits") {
+  host_driver Driver;
+  becomeCoordinatorOfConfirmed(Driver);
+  listTargets(Driver, {"a", "c"});
+  Driver.advanceTime(2500ms);
+  reportUnreachable(Driver, "host-2", "a");
+  CHECK_FALSE(promote(Driver, 3s, {{"c", replicaAt(40)}}));
+  listTargets(Driver, {"a", "b", "c"});
+  CHECK(promote(Driver, 3s, {{"b", replicaAt(90)}, {"c", replicaAt(40)}}) ==
+        "b");
+}
+
+TEST_CASE("A drained replica does not count once its successor is listed") {
+  host_driver Driver;
+  becomeCoordinatorOfConfirmed(Driver);
+  listTargets(Driver, {"a", "b", "c"}, {"b"});
+  events::targets_listed Replaced;
+  for (const std::string Id : {"a", "c", "d"})
+    Replaced.Targets.push_back(host_driver::makeEntry(Id, Id == "a"));
+  Replaced.Targets.back().Endpoint =
+      host_driver::makeEntry("b", false).Endpoint;
+  Driver.send(Replaced);
+  Driver.advanceTime(2500ms);
+  reportUnreachable(Driver, "host-2", "a");
+  CHECK(promote(Driver, 1s, {{"c", replicaAt(40)}, {"d", replicaAt(90)}}) ==
+        "d");
+}
+
+TEST_CASE("A candidate at the position of the old primary holds all commits") {
+  host_driver Driver;
+  becomeCoordinatorOfConfirmed(Driver);
+  listTargets(Driver, {"a", "b", "c"}, {"a"});
+  CHECK(promote(Driver, 1s, {{"a", primaryAt(90)}, {"c", replicaAt(90)}}) ==
+        "c");
+}
+
+TEST_CASE("A planned change waits while no replica holds all commits") {
+  // Guards against the loss of acknowledged commits in a planned change, and
+  // against a primary that is kept out of use meanwhile.
+  host_driver Driver;
+  becomeCoordinatorOfConfirmed(Driver);
+  listTargets(Driver, {"a", "b", "c"}, {"a"});
+  const statuses Behind = {{"a", primaryAt(90)}, {"c", replicaAt(40)}};
+  CHECK_FALSE(promote(Driver, 3s, Behind));
+  CHECK(Driver.Host->Groups.at(Group).Record->Open);
+  CHECK(Driver.Host->Groups.at(Group).Record->Primary == "a");
+  CHECK(promote(Driver, 5s, {{"a", primaryAt(90)}, {"c", replicaAt(90)}}) ==
+        "c");
+}
+
+TEST_CASE("Without confirmation by replicas, one replica suffices") {
   host_driver Driver;
   becomeCoordinator(Driver);
   reportUnreachable(Driver, "host-2", "a");
