Count only answers to a promotion's own probes

Callers would have lost writes that only a replica had received that had not answered yet.

Cause: every end of a probe of any target of the group reduced the number of unanswered probes, also of a witness's probes of the lost primary and of earlier rounds.

Change: a probe carries its round's number, and the answer repeats it. The targets that have not answered are kept by name. After an order, all probes of the candidate share a number, as a single one may be slow.

Ruled out: only ignoring answers of the primary, as those of earlier rounds mislead as well.

Conclusion: mended as far as tests show.

--- a/include/bronzespar/proxy/interface.hpp
+++ b/include/bronzespar/proxy/interface.hpp
@@ -148,6 +148,7 @@
 struct target_probed {
   std::string Target;
   std::optional<target_status> Status;
+  call_number Call = 0; ///< Of the probe.
 };
 
 struct settings_changed {
@@ -301,6 +302,8 @@
   std::string Target;
   std::string Group;
   endpoint Endpoint;
+  /// Tells the answers to a promotion's probes from others; 0: any other.
+  call_number Call = 0;
 };
 
 /// \brief Change records if every expected record has its expected revision.
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -11,6 +11,7 @@
 #include "parts.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace bronzespar::proxy {
 
@@ -196,17 +197,28 @@
   readHosts(Step, Group);
 }
 
+void probeTarget(step_context &Step, const std::string &Name,
+                 const promotion_state &Promotion, const std::string &Id) {
+  const target_view *Target = findIn(Step.State.Targets, Id);
+  if (Target != nullptr)
+    Step.Out.push_back(effects::probe_target{Id, Name, Target->Entry.Endpoint,
+                                             Promotion.ProbeCall});
+}
+
+/// Begins a round of probes of all members.
 void probeMembers(step_context &Step, const std::string &Name,
                   group_state &Group) {
-  Group.Promotion.Statuses.clear();
-  Group.Promotion.PendingProbes = 0;
+  promotion_state &Promotion = Group.Promotion;
+  Promotion.Statuses.clear();
+  Promotion.PendingProbes.clear();
+  Promotion.ProbeCall = nextNumber(Step.State);
   for (const auto &[Id, Target] : Step.State.Targets) {
     if (!Target.Listed || Target.Entry.Group != Name)
       continue;
-    Group.Promotion.PendingProbes += 1;
-    Step.Out.push_back(effects::probe_target{Id, Name, Target.Entry.Endpoint});
+    Promotion.PendingProbes.insert(Id);
+    probeTarget(Step, Name, Promotion, Id);
   }
-  Group.Promotion.NextTryAt = Step.Now + ProbeTimeout;
+  Promotion.NextTryAt = Step.Now + ProbeTimeout;
 }
 
 void openRecord(step_context &Step, const std::string &Name, group_state &Group,
@@ -257,19 +269,22 @@
 }
 
 void orderPromotion(step_context &Step, const std::string &Name,
-                    group_state &Group, const std::string &Candidate) {
-  logLine(Step, "promotion.chosen",
-          {{"group", Name},
-           {"candidate", Candidate},
-           {"primary", Group.Record->Primary},
-           {"statuses", describeStatuses(Step.State, Group.Promotion)},
-           {"unanswered", std::to_string(Group.Promotion.PendingProbes)}});
-  Group.Promotion.Candidate = Candidate;
+                    group_state &Group, std::string Candidate) {
+  logLine(
+      Step, "promotion.chosen",
+      {{"group", Name},
+       {"candidate", Candidate},
+       {"primary", Group.Record->Primary},
+       {"statuses", describeStatuses(Step.State, Group.Promotion)},
+       {"unanswered", std::to_string(Group.Promotion.PendingProbes.size())}});
+  Group.Promotion.Candidate = std::move(Candidate);
   enterStage(Step, Name, Group, promotion_stage::Ordered);
   Group.Promotion.NextTryAt = Step.Now + MinPromotionTime;
-  Step.Out.push_back(
-      effects::order_promotion{Name, Candidate, Step.State.Identity.Name,
-                               Step.State.Coordinator.FencingToken});
+  Group.Promotion.ProbeCall = nextNumber(Step.State);
+  Group.Promotion.Statuses.clear();
+  Step.Out.push_back(effects::order_promotion{
+      Name, Group.Promotion.Candidate, Step.State.Identity.Name,
+      Step.State.Coordinator.FencingToken});
 }
 
 /// Probes the targets again, and returns to the old primary when no replica
@@ -277,11 +292,12 @@
 void awaitReplica(step_context &Step, const std::string &Name,
                   group_state &Group, duration Timeout) {
   if (Step.Now > Group.Promotion.StageSince + Timeout) {
-    logLine(Step, "promotion.no_candidate",
-            {{"group", Name},
-             {"primary", Group.Record->Primary},
-             {"statuses", describeStatuses(Step.State, Group.Promotion)},
-             {"unanswered", std::to_string(Group.Promotion.PendingProbes)}});
+    logLine(
+        Step, "promotion.no_candidate",
+        {{"group", Name},
+         {"primary", Group.Record->Primary},
+         {"statuses", describeStatuses(Step.State, Group.Promotion)},
+         {"unanswered", std::to_string(Group.Promotion.PendingProbes.size())}});
     Group.NextPlannedChangeAt = Step.Now + PlannedRetryDelay;
     openRecord(Step, Name, Group, Group.Record->Primary);
   } else if (Step.Now >= Group.Promotion.NextTryAt) {
@@ -294,10 +310,11 @@
   promotion_state &Promotion = Group.Promotion;
   const auto &OldPrimary = Group.Record->Primary;
   // An unplanned change does not wait for the answer of the lost primary.
-  const bool OnlyOldMissing =
-      !Promotion.Planned && Promotion.PendingProbes == 1 &&
-      !Promotion.Statuses.contains(OldPrimary) && !Promotion.Statuses.empty();
-  if (Promotion.PendingProbes > 0 && !OnlyOldMissing &&
+  const bool OnlyOldMissing = !Promotion.Planned &&
+                              Promotion.PendingProbes.size() == 1 &&
+                              Promotion.PendingProbes.contains(OldPrimary) &&
+                              !Promotion.Statuses.empty();
+  if (!Promotion.PendingProbes.empty() && !OnlyOldMissing &&
       Step.Now < Promotion.NextTryAt)
     return;
   if (const auto Promoted = promotedReplica(Promotion, OldPrimary)) {
@@ -347,13 +364,9 @@
   }
   if (Step.Now < Promotion.NextTryAt)
     return;
-  const target_view *Target = findIn(Step.State.Targets, Promotion.Candidate);
+  // Any answer since the order counts, as a single probe may be slow or lost.
   Promotion.NextTryAt = Step.Now + ProbeInterval;
-  if (Target == nullptr)
-    return;
-  Promotion.Statuses.erase(Promotion.Candidate);
-  Step.Out.push_back(
-      effects::probe_target{Promotion.Candidate, Name, Target->Entry.Endpoint});
+  probeTarget(Step, Name, Promotion, Promotion.Candidate);
 }
 
 /// Starts a change of the record if the group needs one.
@@ -463,14 +476,16 @@
 
 void targetProbed(step_context &Step, const events::target_probed &Event) {
   witnessProbed(Step, Event.Target, Event.Status.has_value());
+  if (Event.Call == 0)
+    return;
   for (auto &[Name, Group] : Step.State.Groups) {
-    const target_view *Target = findIn(Step.State.Targets, Event.Target);
-    if (Target == nullptr || Target->Entry.Group != Name)
+    promotion_state &Promotion = Group.Promotion;
+    if (Promotion.ProbeCall != Event.Call)
       continue;
-    if (Group.Promotion.PendingProbes > 0)
-      Group.Promotion.PendingProbes -= 1;
+    Promotion.PendingProbes.erase(Event.Target);
     if (Event.Status)
-      Group.Promotion.Statuses[Event.Target] = *Event.Status;
+      Promotion.Statuses[Event.Target] = *Event.Status;
+    return;
   }
 }
 
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -183,7 +183,10 @@
   instant StageSince{}; ///< Start of the stage.
   instant StartedAt{};  ///< Start of the promotion.
   instant NextTryAt{};  ///< Earliest time of the stage's next probe or read.
-  unsigned PendingProbes = 0;
+  /// Number of the latest round of probes. Answers to other probes, of an
+  /// earlier round or of a witness, do not count.
+  call_number ProbeCall = 0;
+  std::set<std::string> PendingProbes; ///< Targets that have not answered it.
   call_number ChangeCall = 0;
   std::string ChangeValue; ///< Value that the pending change writes.
   /// Store revision of the closed record as this promotion wrote it. A change
--- a/src/serve/targets.cpp
+++ b/src/serve/targets.cpp
@@ -16,9 +16,11 @@
 
 /// \brief A status request to a target, on a separate connection.
 struct target_links::probe : std::enable_shared_from_this<probe> {
-  probe(boost::asio::io_context &Io, event_sink Sink, std::string TargetName)
+  probe(boost::asio::io_context &Io, event_sink Sink, std::string TargetName,
+        proxy::call_number ProbeCall)
       : Socket(std::make_shared<line_socket>(Io)), Timer(Io),
-        Events(std::move(Sink)), Target(std::move(TargetName)) {}
+        Events(std::move(Sink)), Target(std::move(TargetName)),
+        Call(ProbeCall) {}
 
   void start(const proxy::effects::probe_target &Effect) {
     proxy::outgoing_statement StatusQuery;
@@ -63,13 +65,14 @@
     Finished = true;
     Timer.cancel();
     Socket->close();
-    Events(proxy::events::target_probed{Target, Status});
+    Events(proxy::events::target_probed{Target, Status, Call});
   }
 
   std::shared_ptr<line_socket> Socket;
   boost::asio::steady_timer Timer;
   event_sink Events;
   std::string Target;
+  proxy::call_number Call = 0;
   platform::answer_reader Reader;
   bool Finished = false;
 };
@@ -150,7 +153,8 @@
 }
 
 void target_links::carryOut(const proxy::effects::probe_target &Effect) {
-  std::make_shared<probe>(Io, Events, Effect.Target)->start(Effect);
+  std::make_shared<probe>(Io, Events, Effect.Target, Effect.Call)
+      ->start(Effect);
 }
 
 } // namespace bronzespar::serve
--- a/tests/proxy/candidate_tests.cpp
+++ b/tests/proxy/candidate_tests.cpp
@@ -40,12 +40,13 @@
   for (const auto &Probe : Driver.takeEffects<effects::probe_target>()) {
     const auto Found = Statuses.find(Probe.Target);
     if (Found != Statuses.end())
-      Driver.send(events::target_probed{Probe.Target, Found->second});
+      Driver.send(
+          events::target_probed{Probe.Target, Found->second, Probe.Call});
   }
 }
 
 /// Lets the coordinator go on; this host is the only one, and targets answer
-/// with Statuses.
+/// with Statuses, or not at all if there are none.
 /// \returns The target of the first order to promote, if there is one.
 std::optional<std::string> promote(host_driver &Driver, duration Span,
                                    const statuses &Statuses) {
@@ -64,7 +65,8 @@
           {{"hosts/host-1", formatRecord(Own), ++Driver.Revision, 7}},
           true,
           ++Driver.Revision});
-    answerProbes(Driver, Statuses);
+    if (!Statuses.empty())
+      answerProbes(Driver, Statuses);
     const auto Orders = Driver.takeEffects<effects::order_promotion>();
     if (!Orders.empty())
       return Orders.front().Target;
@@ -72,6 +74,15 @@
   return std::nullopt;
 }
 
+/// Takes the promotion to the choice of a replica.
+/// \returns The probes of the targets, which are not answered yet.
+std::vector<effects::probe_target> probesOfPromotion(host_driver &Driver) {
+  CHECK_FALSE(promote(Driver, 100ms, {}));
+  auto Probes = Driver.takeEffects<effects::probe_target>();
+  REQUIRE(Probes.size() == 3);
+  return Probes;
+}
+
 target_status replicaAt(std::uint64_t Index) { return {false, {1, Index}, 1}; }
 target_status primaryAt(std::uint64_t Index) { return {true, {1, Index}, 1}; }
 
@@ -166,3 +177,33 @@
   reportUnreachable(Driver, "host-2", "a");
   CHECK(promote(Driver, 1s, {{"c", replicaAt(40)}}) == "c");
 }
+
+TEST_CASE("Probes of a witness do not count as answers of replicas") {
+  // Guards against a promotion before the better replica had time to answer: in
+  // a fleet above 12 hosts, the coordinator also asks the lost primary as a
+  // witness, and each such probe was taken for one of the promotion's.
+  host_driver Driver;
+  becomeCoordinator(Driver);
+  reportUnreachable(Driver, "host-2", "a");
+  const auto Probes = probesOfPromotion(Driver);
+  Driver.send(events::target_probed{"a", std::nullopt});
+  Driver.send(events::target_probed{"a", std::nullopt});
+  for (const auto &Probe : Probes)
+    if (Probe.Target == "c")
+      Driver.send(events::target_probed{"c", replicaAt(40), Probe.Call});
+  CHECK_FALSE(promote(Driver, 100ms, {}));
+}
+
+TEST_CASE("An answer to an earlier probe does not count for a later one") {
+  // Guards against an outdated position of the old primary, with which a
+  // replica that is behind would seem to have caught up.
+  host_driver Driver;
+  becomeCoordinator(Driver);
+  listTargets(Driver, {"a", "b", "c"}, {"a"});
+  const auto Probes = probesOfPromotion(Driver);
+  for (const auto &Probe : Probes)
+    Driver.send(events::target_probed{
+        Probe.Target, Probe.Target == "a" ? primaryAt(40) : replicaAt(40),
+        Probe.Call - 1});
+  CHECK_FALSE(promote(Driver, 100ms, {}));
+}
--- a/tests/proxy/promotion_tests.cpp
+++ b/tests/proxy/promotion_tests.cpp
@@ -36,7 +36,8 @@
   Driver.grantLease(7);
   for (const auto &Probe : Driver.takeEffects<effects::probe_target>())
     if (const auto Found = Statuses.find(Probe.Target); Found != Statuses.end())
-      Driver.send(events::target_probed{Probe.Target, Found->second});
+      Driver.send(
+          events::target_probed{Probe.Target, Found->second, Probe.Call});
 }
 
 /// The primary of the record that the coordinator opens, if it does.
--- a/tests/proxy/unconfirmed_change_tests.cpp
+++ b/tests/proxy/unconfirmed_change_tests.cpp
@@ -51,7 +51,8 @@
 void answerProbes(host_driver &Driver) {
   for (const auto &Probe : Driver.takeEffects<effects::probe_target>())
     Driver.send(events::target_probed{
-        Probe.Target, target_status{Probe.Target == "a", {1, 90}, 1}});
+        Probe.Target, target_status{Probe.Target == "a", {1, 90}, 1},
+        Probe.Call});
 }
 
 /// Lets the coordinator go on for a while. All targets answer.
