Repeat an order that the platform rejects, for the same replica

Callers would have lost writes that only the best replica had received.

Cause: 429 and 503 ruled out the ordered replica like 409, and the next best one was promoted.

Change: the answer to an order has three outcomes. Only a target that does not run is passed over; a rejected order is repeated after 100 ms, with new positions.

Ruled out: waiting as after a lost answer, which takes 3.5 s.

Result: the new case failed before (c ordered after a rejected order for b); 124 of 124 tests of test_proxy pass.

Conclusion: mended as far as tests show.

--- a/include/bronzespar/proxy/interface.hpp
+++ b/include/bronzespar/proxy/interface.hpp
@@ -49,6 +49,14 @@
 BOOST_DESCRIBE_ENUM(change_outcome, Done, Conflict, LeaseGone, Rejected,
                     Unknown)
 
+/// \brief The platform's answer to an order to promote a target.
+enum class order_outcome {
+  Accepted,   ///< Or without an answer: it may be carried out.
+  NotRunning, ///< The target does not run, so that it can't be promoted.
+  Rejected    ///< The platform did nothing: it is down or overloaded.
+};
+BOOST_DESCRIBE_ENUM(order_outcome, Accepted, NotRunning, Rejected)
+
 /// \brief Tokens of one account that a host requests or grants.
 struct token_transfer {
   std::string Account;
@@ -198,7 +206,7 @@
 /// \brief The platform's answer to order_promotion.
 struct promotion_answered {
   std::string Group;
-  bool Accepted = false;
+  order_outcome Outcome = order_outcome::Rejected;
 };
 
 /// \brief Another host asks this one, as connection owner, to run a statement.
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -25,6 +25,8 @@
 /// A replica is never promoted later than this after the order. Another order
 /// before that could make two primaries.
 constexpr duration MaxPromotionTime = std::chrono::milliseconds(3500);
+/// Delay after an order that the platform did not accept.
+constexpr duration OrderRetryDelay = std::chrono::milliseconds(100);
 /// A planned change waits this long for a replica to catch up.
 constexpr duration CatchUpTimeout = std::chrono::milliseconds(1500);
 /// If no replica can be promoted for this long, the old primary is used again.
@@ -343,7 +345,8 @@
     return;
   }
   if (!isCoordinator(Step.State, Step.Now) ||
-      Step.Now < Step.State.Coordinator.OrdersFrom)
+      Step.Now < Step.State.Coordinator.OrdersFrom ||
+      Step.Now < Promotion.OrderNotBefore)
     return;
   orderPromotion(Step, Name, Group, Best->first);
 }
@@ -497,10 +500,12 @@
   logLine(Step, "promotion.answered",
           {{"group", Event.Group},
            {"candidate", Group->Promotion.Candidate},
-           {"accepted", Event.Accepted ? "true" : "false"}});
-  if (Event.Accepted)
+           {"outcome", std::string(enumName(Event.Outcome))}});
+  if (Event.Outcome == order_outcome::Accepted)
     return;
-  Group->Promotion.RefusedCandidates.insert(Group->Promotion.Candidate);
+  if (Event.Outcome == order_outcome::NotRunning)
+    Group->Promotion.RefusedCandidates.insert(Group->Promotion.Candidate);
+  Group->Promotion.OrderNotBefore = Step.Now + OrderRetryDelay;
   enterStage(Step, Event.Group, *Group, promotion_stage::Choosing);
   probeMembers(Step, Event.Group, *Group);
 }
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -196,11 +196,11 @@
   bool HostsRead = false; ///< Hosts were read since the record was closed.
   /// Start of the wait for each host that has not acknowledged.
   std::map<std::string, instant> AwaitedSince;
-  /// Orders wait until then, as hosts may still rely on leases that this host
-  /// revoked.
+  /// Orders wait until then: hosts may still rely on leases that this host
+  /// revoked, or the platform rejected an order.
   instant OrderNotBefore{};
   std::map<std::string, target_status> Statuses;
-  /// Replicas that the platform refused to promote.
+  /// Replicas that do not run, as the platform told.
   std::set<std::string> RefusedCandidates;
   std::string Candidate;
 };
--- a/tests/proxy/candidate_tests.cpp
+++ b/tests/proxy/candidate_tests.cpp
@@ -207,3 +207,26 @@
         Probe.Call - 1});
   CHECK_FALSE(promote(Driver, 100ms, {}));
 }
+
+TEST_CASE(
+    "An order that the platform rejects is repeated for the same replica") {
+  // Guards against the loss of acknowledged commits: a platform that was
+  // overloaded for a moment ruled out the best replica.
+  host_driver Driver;
+  becomeCoordinator(Driver);
+  reportUnreachable(Driver, "host-2", "a");
+  const statuses Statuses = {{"b", replicaAt(90)}, {"c", replicaAt(40)}};
+  REQUIRE(promote(Driver, 1s, Statuses) == "b");
+  Driver.send(events::promotion_answered{Group, order_outcome::Rejected});
+  CHECK(promote(Driver, 1s, Statuses) == "b");
+}
+
+TEST_CASE("A replica that does not run is passed over") {
+  host_driver Driver;
+  becomeCoordinator(Driver);
+  reportUnreachable(Driver, "host-2", "a");
+  const statuses Statuses = {{"b", replicaAt(90)}, {"c", replicaAt(40)}};
+  REQUIRE(promote(Driver, 1s, Statuses) == "b");
+  Driver.send(events::promotion_answered{Group, order_outcome::NotRunning});
+  CHECK(promote(Driver, 1s, Statuses) == "c");
+}
