Keep the primary's term in the group's record

Callers would have lost all writes since the change of primary before the last one.

Cause: a target that called itself primary in the latest term among the answers was opened as promoted by an earlier order, also if it was the only one to answer and had been replaced long before.

Change: the record holds the term in which its primary leads. A primary of an earlier term is neither used nor promoted.

Ruled out: asking for more answers, as the silent targets may be gone.

--- a/src/proxy/candidates.cpp
+++ b/src/proxy/candidates.cpp
@@ -85,6 +85,20 @@
   return Target == State.Targets.end() || Target->second.Entry.Draining;
 }
 
+/// The latest term in which a target is known to lead. The answers do not show
+/// it if only a primary of an earlier term has answered.
+std::uint64_t latestTerm(const group_state &Group) {
+  std::uint64_t Latest = Group.Record->Term;
+  for (const auto &[Id, Status] : Group.Promotion.Statuses)
+    Latest = std::max(Latest, Status.Term);
+  return Latest;
+}
+
+/// Whether a target still calls itself the primary of a term that has ended.
+bool isFormerPrimary(const group_state &Group, const target_status &Status) {
+  return Status.IsPrimary && Status.Term < latestTerm(Group);
+}
+
 } // namespace
 
 void targetDeparted(step_context &Step, const target_entry &Entry) {
@@ -103,6 +117,7 @@
     if (Entry.first == Group.Record->Primary ||
         !State.Targets.contains(Entry.first) ||
         Group.Promotion.RefusedCandidates.contains(Entry.first) ||
+        isFormerPrimary(Group, Entry.second) ||
         (Group.Promotion.Planned && isDraining(State, Entry.first)))
       continue;
     // After the loss of a primary, a draining replica is the better one if the
@@ -134,13 +149,10 @@
   return countCovered(State, Name, Group, Candidate) >= Needed;
 }
 
-std::optional<std::string> promotedReplica(const promotion_state &Promotion,
-                                           const std::string &OldPrimary) {
-  std::uint64_t LatestTerm = 0;
-  for (const auto &[Id, Status] : Promotion.Statuses)
-    LatestTerm = std::max(LatestTerm, Status.Term);
-  for (const auto &[Id, Status] : Promotion.Statuses)
-    if (Id != OldPrimary && Status.IsPrimary && Status.Term == LatestTerm)
+std::optional<std::string> promotedReplica(const group_state &Group) {
+  for (const auto &[Id, Status] : Group.Promotion.Statuses)
+    if (Id != Group.Record->Primary && Status.IsPrimary &&
+        Status.Term == latestTerm(Group))
       return Id;
   return std::nullopt;
 }
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -260,8 +260,7 @@
 /// \brief The replica that became primary by an earlier order. A primary of an
 /// earlier term still calls itself one while it cannot reach its successor.
 [[nodiscard]] std::optional<std::string>
-promotedReplica(const promotion_state &Promotion,
-                const std::string &OldPrimary);
+promotedReplica(const group_state &Group);
 /// \brief What the group's targets answered, for the log.
 [[nodiscard]] std::string describeStatuses(const host &State,
                                            const promotion_state &Promotion);
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -133,7 +133,8 @@
       Group.Record->Generation + (Group.Record->Open ? 1 : 0);
   changeRecord(Step, Name, Group, Group.Revision,
                {Generation, Group.Record->Primary, false,
-                Group.Record->Electors, Group.Promotion.ReplacesElectors});
+                Group.Record->Electors, Group.Promotion.ReplacesElectors,
+                Group.Record->Term});
 }
 
 /// Starts a promotion if the group needs another primary and has a replica.
@@ -225,11 +226,15 @@
 
 void openRecord(step_context &Step, const std::string &Name, group_state &Group,
                 const std::string &Primary) {
+  const target_status *Status = findIn(Group.Promotion.Statuses, Primary);
+  const std::uint64_t Term = Status != nullptr && Status->IsPrimary
+                                 ? std::max(Status->Term, Group.Record->Term)
+                                 : Group.Record->Term;
   Group.Promotion.Candidate = Primary;
   enterStage(Step, Name, Group, promotion_stage::Opening);
   changeRecord(Step, Name, Group, Group.Promotion.ClosedRevision,
                {Group.Record->Generation + 1, Primary, true,
-                chooseElectors(Step.State, Step.Now)});
+                chooseElectors(Step.State, Step.Now), false, Term});
 }
 
 /// Waits until no host can use the old primary.
@@ -319,7 +324,7 @@
   if (!Promotion.PendingProbes.empty() && !OnlyOldMissing &&
       Step.Now < Promotion.NextTryAt)
     return;
-  if (const auto Promoted = promotedReplica(Promotion, OldPrimary)) {
+  if (const auto Promoted = promotedReplica(Group)) {
     openRecord(Step, Name, Group, *Promoted);
     return;
   }
--- a/src/proxy/records.cpp
+++ b/src/proxy/records.cpp
@@ -47,6 +47,8 @@
                                                Record.Electors.end())}};
   if (Record.PrimaryStays)
     Object["primary_stays"] = true;
+  if (Record.Term > 0)
+    Object["term"] = Record.Term;
   return json::serialize(Object);
 }
 
@@ -80,6 +82,7 @@
                       Open->as_bool()};
   if (const json::value *Stays = Object->if_contains("primary_stays"))
     Record.PrimaryStays = Stays->is_bool() && Stays->as_bool();
+  Record.Term = toUnsigned(Object->if_contains("term")).value_or(0);
   if (const json::value *List = Object->if_contains("electors");
       List != nullptr && List->is_array())
     for (const json::value &Elector : List->as_array())
--- a/src/proxy/records.hpp
+++ b/src/proxy/records.hpp
@@ -28,6 +28,7 @@
   /// Closed to replace electors only: in this generation no promotion may be
   /// ordered, and the primary is used again when the record is opened.
   bool PrimaryStays = false;
+  std::uint64_t Term = 0; ///< In which the primary leads; 0: not known.
 };
 
 /// \brief A live host. The store removes the record when its lease ends.
--- a/tests/proxy/candidate_tests.cpp
+++ b/tests/proxy/candidate_tests.cpp
@@ -230,3 +230,20 @@
   Driver.send(events::promotion_answered{Group, order_outcome::NotRunning});
   CHECK(promote(Driver, 1s, Statuses) == "c");
 }
+
+TEST_CASE("A primary of an earlier term that alone answers is not used") {
+  // Guards against the use of a primary that was replaced before the present
+  // one: it calls itself primary until it has reached its successor.
+  host_driver Driver;
+  becomeCoordinator(Driver);
+  reportUnreachable(Driver, "host-2", "a");
+  REQUIRE(promote(Driver, 1s, {{"b", replicaAt(90)}}) == "b");
+  const target_status Promoted{true, {2, 0}, 2};
+  CHECK_FALSE(promote(Driver, 1s, {{"b", Promoted}}));
+  REQUIRE(Driver.Host->Groups.at(Group).Record->Primary == "b");
+  reportUnreachable(Driver, "host-2", "b");
+  CHECK_FALSE(promote(Driver, 1s, {{"a", primaryAt(95)}}));
+  CHECK_FALSE(Driver.Host->Groups.at(Group).Record->Open);
+  CHECK(promote(Driver, 1s, {{"a", primaryAt(95)}, {"c", replicaAt(90)}}) ==
+        "c");
+}
