--- a/tests/platform/codec_tests.cpp
+++ b/tests/platform/codec_tests.cpp
@@ -149,6 +149,18 @@
   CHECK_FALSE(parseTargetEntry("i-1", "\xff\xfe", Fault));
 }
 
+TEST_CASE("An entry under an odd key describes no target") {
+  // Guards against a statement that no caller sent: the id is part of the line
+  // with which a connection to the entry's address begins.
+  std::string Fault;
+  for (const std::string &Id :
+       {std::string(), std::string("i 1"),
+        std::string("i-1\r\nQUERY x WRITE a b"), std::string("i-1\n"),
+        std::string("i-\0001", 4), std::string("i-\x7f"),
+        std::string("i-\xc3\xa9")})
+    CHECK_FALSE(parseTargetEntry(Id, Entry, Fault));
+}
+
 TEST_CASE("A watch answer contains changes and removals") {
   const auto Page = parseWatch(
       R"({"events":[{"Key":"my/a","Value":"bm9kZS0x","Revision":412,"Lease":7},)"
