Escape the key after which the next page of a list begins

Callers would have seen: hosts that never follow the list of targets again, or end for want of memory.

Cause: the last key of a page went into the URL as it is. With a blank, a line end, & or # in it, the store gets another request.

Change: the key is percent-encoded, all but unreserved characters and the slash, so that the paths of ordinary keys stay as they are. A page that ends where it should begin ends the read, with a line in the log; the read is tried again.

Ruled out: leaving out odd keys, as the page's last key must be named.

Conclusion: mended on our side.

--- a/tests/platform/store_client_tests.cpp
+++ b/tests/platform/store_client_tests.cpp
@@ -91,3 +91,13 @@
   CHECK_FALSE(Fixture.Reads.front().Answered);
   CHECK(Fixture.Reads.front().Records.empty());
 }
+
+TEST_CASE("A read of records ends at a page that ends where it should begin") {
+  client_fixture Fixture;
+  Fixture.Client.carryOut(proxy::effects::read_records{5, "hosts/"});
+  Fixture.answer({StatusOk, FirstPage});
+  Fixture.answer({StatusOk, FirstPage});
+  CHECK(Fixture.Calls.empty());
+  REQUIRE(Fixture.Reads.size() == 1);
+  CHECK_FALSE(Fixture.Reads.front().Answered);
+}
--- a/tests/platform/watch_tests.cpp
+++ b/tests/platform/watch_tests.cpp
@@ -218,3 +218,33 @@
   REQUIRE(Page->Changes.size() == 1);
   CHECK(Page->Changes.front().Record.Value == "13");
 }
+
+TEST_CASE("A page that ends with an odd key is followed by the next page") {
+  // Guards against a list that is never read again: the key of another writer's
+  // entry stood unescaped in the path of the call.
+  watch_fixture Prefix;
+  Prefix.answer({410, {}});
+  Prefix.runFor(10ms);
+  Prefix.answer({StatusOk,
+                 R"({"items":[{"Key":"op/a b&c#%?\r\nd","Value":"Mg==",)"
+                 R"("Revision":7}],"MorePages":true,"CurrentRev":8})"});
+  REQUIRE(Prefix.Calls.size() == 1);
+  CHECK(Prefix.Calls.front().Call.Path ==
+        "/v1/kv-range?Prefix=op/&after=op/a%20b%26c%23%25%3F%0D%0Ad");
+}
+
+TEST_CASE("A page that ends where it should begin ends the read") {
+  // Guards against a process that collects pages without end.
+  watch_fixture Prefix;
+  Prefix.answer({410, {}});
+  Prefix.runFor(10ms);
+  const http_answer Page{
+      StatusOk, R"({"items":[{"Key":"op/a","Value":"Mg==","Revision":7}],)"
+                R"("MorePages":true,"CurrentRev":8})"};
+  Prefix.answer(Page);
+  Prefix.answer(Page);
+  CHECK(Prefix.Calls.empty());
+  Prefix.runFor(300ms);
+  REQUIRE(Prefix.Calls.size() == 1);
+  CHECK(Prefix.Calls.front().Call.Path == "/v1/kv-range?Prefix=op/");
+}
