Limit the numbers of entries and of the operator's document

Callers would have seen: a target with any number of slots, preferred to all others and never queued for; time-outs and limits of no defined size.

Cause: a JSON number of any size was converted to an integer.

Change: an entry with more than a million slots names no target. The operator's numbers are limited, not refused, as the store has accepted the document and it has to be in force.

Ruled out: refusing the document, which would leave the older version in force.

--- a/tests/platform/codec_tests.cpp
+++ b/tests/platform/codec_tests.cpp
@@ -161,6 +161,46 @@
     CHECK_FALSE(parseTargetEntry(Id, Entry, Fault));
 }
 
+TEST_CASE("Numbers that are too large are refused in an entry") {
+  // Guards against a conversion without a defined result, and a target with
+  // any number of slots.
+  std::string Fault;
+  for (const std::string Number :
+       {"1e300", "1e400", "4294967296", "18446744073709551616", "1000001"}) {
+    std::string Odd = Entry;
+    const std::string Capacity = "\"Capacity\":2";
+    Odd.replace(Odd.find(Capacity), Capacity.size(), "\"Capacity\":" + Number);
+    CHECK_FALSE(parseTargetEntry("i-1", Odd, Fault));
+  }
+}
+
+TEST_CASE("Numbers that are too large are limited in the operator's document") {
+  // The store has accepted the document, so that it has to be in force.
+  std::string Fault;
+  for (const std::string Field :
+       {"TimeoutMs", "TargetLatencyMs", "MaxStalenessMs", "Priority",
+        "MaxConnections", "SyncReplicas", "TxIdleMs", "RatePerS", "Burst"}) {
+    std::string Odd = Document;
+    const std::size_t Begin = Odd.find("\"" + Field + "\":") + Field.size() + 3;
+    Odd.replace(Begin, Odd.find_first_not_of("0123456789", Begin) - Begin,
+                "1e300");
+    const auto Settings = parseOperatorDocument(Odd, Fault);
+    REQUIRE(Settings);
+    const proxy::session_route &Route = Settings->Routes.at("xapu");
+    const duration Year = std::chrono::hours(24 * 365);
+    CHECK(Route.StatementTimeout > duration::zero());
+    CHECK(Route.StatementTimeout <= Year);
+    CHECK(Route.LatencyGoal <= Year);
+    CHECK(Route.MaxStaleness <= Year);
+    CHECK(Route.Priority >= 0);
+    CHECK(Settings->TransactionIdleTimeout <= Year);
+    CHECK(Settings->Groups.at("huvo").MaxConnections <= 1'000'000);
+    CHECK(Settings->Groups.at("huvo").ConfirmingReplicas <= 1'000'000);
+    CHECK(Settings->Accounts.at("nypu").RatePerSecond <= 1e9);
+    CHECK(Settings->Accounts.at("nypu").Burst <= 1e9);
+  }
+}
+
 TEST_CASE("A watch answer contains changes and removals") {
   const auto Page = parseWatch(
       R"({"events":[{"Key":"my/a","Value":"bm9kZS0x","Revision":412,"Lease":7},)"
