Cut long fields of log lines, and keep the lines valid JSON

Operators would have seen: lines of up to 256 KB, 40 a second on each host, that the tools for logs can't read.

Cause: a line about an unusable entry repeats its text, of up to a megabyte and of any bytes. Found by reading; no run showed it.

Change: a field is cut at 1,024 bytes and says how long it was. Bytes beyond ASCII are escaped one by one.

Ruled out: cutting only where entries are logged, as peers' texts and callers' names reach other lines.

The test of the bounded log buffer wrote 100 lines of 4,000 bytes; with cut lines it writes 2,000 of them, so that the bound is reached as before.

Conclusion: mended.

--- a/src/serve/journal.cpp
+++ b/src/serve/journal.cpp
@@ -16,15 +16,19 @@
 /// Served statements are only sampled; failed ones are logged up to
 /// MaxLinesPerSecond.
 constexpr unsigned MaxServedLinesPerSecond = 4;
+/// Fields may hold what other writers left in the store, of up to a megabyte.
+constexpr std::size_t MaxFieldBytes = 1024;
 
+/// Appends a JSON string. Bytes beyond ASCII are escaped one by one, as Text
+/// need not be valid UTF-8.
 void appendEscaped(std::string &Out, std::string_view Text) {
   Out.push_back('"');
-  for (const char Character : Text) {
+  for (const char Character : Text.substr(0, MaxFieldBytes)) {
     const auto Byte = static_cast<unsigned char>(Character);
     if (Character == '"' || Character == '\\') {
       Out.push_back('\\');
       Out.push_back(Character);
-    } else if (Byte < 0x20) {
+    } else if (Byte < 0x20 || Byte >= 0x7f) {
       char Escape[8];
       std::snprintf(Escape, sizeof Escape, "\\u%04x", Byte);
       Out.append(Escape);
@@ -32,6 +36,8 @@
       Out.push_back(Character);
     }
   }
+  if (Text.size() > MaxFieldBytes)
+    Out += "... " + std::to_string(Text.size()) + " bytes";
   Out.push_back('"');
 }
 
--- a/tests/serve/settings_tests.cpp
+++ b/tests/serve/settings_tests.cpp
@@ -3,9 +3,11 @@
 #include <serve/meters.hpp>
 #include <serve/serve_settings.hpp>
 
+#include <boost/json.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <sstream>
 #include <string>
 
 using namespace bronzespar;
@@ -74,12 +76,43 @@
   journal Log;
   const std::string Long(4000, 'x');
   for (int Second = 0; Second < 100; ++Second)
-    addLine(Log, {"statement.failed", {{"cause", Long}}},
-            instant(std::chrono::seconds(Second)));
+    for (int Line = 0; Line < 20; ++Line)
+      addLine(Log, {"statement.failed", {{"cause", Long}}},
+              instant(std::chrono::seconds(Second)));
   CHECK(Log.Pending.size() <= journal::MaxPendingBytes);
   CHECK(Log.DroppedBytes > 0);
 }
 
+TEST_CASE("A long field of a log line is cut") {
+  // Guards against lines that repeat an entry of up to a megabyte, for each of
+  // its changes and on each host.
+  journal Log;
+  addLine(Log, {"host.unusable", {{"value", std::string(1'000'000, 'x')}}},
+          instant(1s));
+  CHECK(Log.Pending.size() < 2000);
+  CHECK(Log.Pending.find("xxx... 1000000 bytes\"") != std::string::npos);
+}
+
+TEST_CASE("A cut or invalid field leaves the log line valid") {
+  // Guards against lines that the tools for logs can't read.
+  journal Log;
+  std::string Accents;
+  for (int Index = 0; Index < 400; ++Index)
+    Accents += "\xc3\xa9";
+  addLine(Log, {"host.unusable", {{"value", "x" + Accents}}}, instant(1s));
+  addLine(Log, {"host.unusable", {{"value", "\xff\xfe\x80"}}}, instant(1s));
+  boost::system::error_code Error;
+  std::istringstream Lines(Log.Pending);
+  std::string Line;
+  int Count = 0;
+  while (std::getline(Lines, Line)) {
+    (void)boost::json::parse(Line, Error);
+    CHECK_FALSE(Error);
+    Count += 1;
+  }
+  CHECK(Count == 2);
+}
+
 TEST_CASE("Meters are labelled by class, account and code") {
   meters Meters;
   countOutcome(Meters, {"Primary", "rago", proxy::answer_code::Complete, 3ms});
