--- a/src/proxy/json_object.cpp
+++ b/src/proxy/json_object.cpp
@@ -8,8 +8,12 @@
 namespace json = boost::json;
 
 std::optional<json::object> parseObject(std::string_view Text) {
+  // Other writers choose the keys that a page of the store's items holds.
+  json::parse_options Options;
+  Options.allow_invalid_utf8 = true;
   boost::system::error_code Error;
-  json::value Value = json::parse({Text.data(), Text.size()}, Error);
+  json::value Value =
+      json::parse({Text.data(), Text.size()}, Error, {}, Options);
   if (Error || !Value.is_object())
     return std::nullopt;
   return std::move(Value.as_object());
--- a/tests/platform/codec_tests.cpp
+++ b/tests/platform/codec_tests.cpp
@@ -213,6 +213,23 @@
   CHECK_FALSE(parseWatch("no json"));
 }
 
+TEST_CASE("A key that is not valid UTF-8 does not make its page unreadable") {
+  // Guards against a list that is no longer followed because of one entry.
+  const auto Page =
+      parseRange("{\"items\":[{\"Key\":\"servers/\xff\xfe\",\"Revision\":3},"
+                 "{\"Key\":\"servers/i-1\",\"Revision\":4}],"
+                 "\"MorePages\":false,\"CurrentRev\":4}");
+  REQUIRE(Page);
+  REQUIRE(Page->Records.size() == 2);
+  watch_page Passed;
+  for (const proxy::store_record &Record : Page->Records)
+    Passed.Changes.push_back({Record, false});
+  const auto AtPeer = parseWatch(formatWatch(Passed));
+  REQUIRE(AtPeer);
+  CHECK(AtPeer->Changes.front().Record.Key == Page->Records.front().Key);
+  CHECK(AtPeer->Changes.back().Record.Key == "servers/i-1");
+}
+
 TEST_CASE("Arbitrary bytes give a value or an error, never a crash") {
   rc::check("lines", [](const std::string &Bytes) {
     line_reader Lines;
