Give up a lease when the own record is bound to another one

Callers would have seen: writes acknowledged at a primary that was being replaced, at a host whose watch lags.

Cause: a registration that an earlier process sent, unanswered, and that the store makes late replaces the record of the process that followed. The record then ends with the earlier lease. The host compared only the value, which is the same. Found by reading every change whose outcome may be unknown.

Change: a record of this host under another lease, newer than its registration, ends its lease; it registers under a new one before it uses primaries.

Ruled out: a condition on the record's revision, which needs a read at each start.

--- a/src/proxy/host_list.cpp
+++ b/src/proxy/host_list.cpp
@@ -95,10 +95,16 @@
 }
 
 /// Registers the host again when its own record is not the one that it wrote: a
-/// change whose answer was lost may have overwritten a later one.
-void compareOwnRecord(lease_state &Lease, const store_record &Record) {
-  if (Lease.RegisterCall == 0 && !Lease.RegisteredValue.empty() &&
-      Record.Revision > Lease.RegisteredRevision)
+/// change whose answer was lost may have overwritten a later one. One of an
+/// earlier process, bound to another lease, voids the registration.
+void compareOwnRecord(step_context &Step, const store_record &Record) {
+  lease_state &Lease = Step.State.Lease;
+  if (Lease.RegisteredValue.empty() ||
+      Record.Revision <= Lease.RegisteredRevision)
+    return;
+  if (Record.Lease != Lease.Id)
+    loseLease(Step);
+  else if (Lease.RegisterCall == 0)
     Lease.RegisteredValue = Record.Value;
 }
 
@@ -121,7 +127,7 @@
   if (Record.Revision <= knownRevision(State, Name))
     return;
   if (Name == State.Identity.Name)
-    compareOwnRecord(State.Lease, Record);
+    compareOwnRecord(Step, Record);
   const auto Known = State.Hosts.find(Name);
   if (Known == State.Hosts.end() || isMoved(Known->second.Record, *Parsed))
     State.HostsVersion += 1;
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -162,6 +162,11 @@
 [[nodiscard]] bool mayUsePrimary(const host &State, const std::string &Group,
                                  instant Now);
 void superviseLease(step_context &Step);
+/// \brief Gives up the lease with the registration and the read of records
+/// under it.
+/// \remarks A call that is pending for it stays pending, since two leases that
+/// are granted at a time would be mistaken for one another.
+void loseLease(step_context &Step);
 void leaseAnswered(step_context &Step, const events::lease_answered &Event);
 void recordChanged(step_context &Step, const store_record &Record);
 void recordRemoved(step_context &Step, const events::record_removed &Event);
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -44,20 +44,6 @@
   return std::string(HostsPrefix) + State.Identity.Name;
 }
 
-/// Gives up the lease with the registration and the read of records under it.
-/// A call that is pending for it stays pending, since two leases that are
-/// granted at a time would be mistaken for one another.
-void loseLease(step_context &Step) {
-  lease_state &Lease = Step.State.Lease;
-  logLine(Step, "lease.lost", {{"lease", std::to_string(Lease.Id)}});
-  lease_state Lost;
-  Lost.NextCallAt = Lease.NextCallAt;
-  Lost.CallPending = Lease.CallPending;
-  Lost.PendingCallIsObsolete = Lease.CallPending;
-  Lease = Lost;
-  Step.State.Coordinator.IsHeld = false;
-}
-
 /// Whether statements or transactions still use the group's primary.
 bool usesPrimary(const host &State, const group_state &Group) {
   for (const auto &[Number, Connection] : State.Connections) {
@@ -172,6 +158,17 @@
 
 } // namespace
 
+void loseLease(step_context &Step) {
+  lease_state &Lease = Step.State.Lease;
+  logLine(Step, "lease.lost", {{"lease", std::to_string(Lease.Id)}});
+  lease_state Lost;
+  Lost.NextCallAt = Lease.NextCallAt;
+  Lost.CallPending = Lease.CallPending;
+  Lost.PendingCallIsObsolete = Lease.CallPending;
+  Lease = Lost;
+  Step.State.Coordinator.IsHeld = false;
+}
+
 bool mayUsePrimary(const host &State, const std::string &Group, instant Now) {
   const auto Found = State.Groups.find(Group);
   if (Found == State.Groups.end() || !Found->second.Record ||
--- a/tests/proxy/unconfirmed_change_tests.cpp
+++ b/tests/proxy/unconfirmed_change_tests.cpp
@@ -1,7 +1,7 @@
 /// Changes of the store that are not answered, and may be made later.
 #include "coordinator_driver.hpp"
 
-#include <proxy/state.hpp>
+#include <proxy/parts.hpp>
 
 using namespace session_test;
 
@@ -284,3 +284,17 @@
   Driver.advanceTime(20ms);
   CHECK(takeReturn(Driver));
 }
+
+TEST_CASE("A registration of an earlier process that is made late voids the "
+          "host's own") {
+  // Guards against a host that uses primaries while no coordinator waits for
+  // it: its record is removed with the lease of the earlier process.
+  host_driver Driver;
+  Driver.becomeReady();
+  host_record Earlier;
+  Earlier.PeerEndpoint = {"10.0.0.1", 7560};
+  Earlier.DataCentre = "suva";
+  Driver.send(events::record_changed{
+      {"hosts/host-1", formatRecord(Earlier), ++Driver.Revision, 6}});
+  CHECK_FALSE(mayUsePrimary(*Driver.Host, Group, Driver.Now));
+}
