--- a/tests/proxy/coordinator_driver.hpp
+++ b/tests/proxy/coordinator_driver.hpp
@@ -42,4 +42,28 @@
                                        ++Driver.Revision});
 }
 
+/// Answers the reads of the hosts: this host is the only one, and it has
+/// acknowledged the closed generation.
+inline void acknowledgeClosure(host_driver &Driver, std::uint64_t Generation) {
+  host_record Own;
+  Own.PeerEndpoint = {"10.0.0.1", 7560};
+  Own.AcknowledgedClosures[Group] = Generation;
+  for (const auto &Read : Driver.takeEffects<effects::read_records>())
+    Driver.send(events::records_read{
+        Read.Call,
+        Read.Prefix,
+        {{"hosts/host-1", formatRecord(Own), ++Driver.Revision, 7}},
+        true,
+        ++Driver.Revision});
+}
+
+/// Answers the probes of the targets that Statuses names.
+inline void answerProbes(host_driver &Driver,
+                         const std::map<std::string, target_status> &Statuses) {
+  for (const auto &Probe : Driver.takeEffects<effects::probe_target>())
+    if (const auto Found = Statuses.find(Probe.Target); Found != Statuses.end())
+      Driver.send(
+          events::target_probed{Probe.Target, Found->second, Probe.Call});
+}
+
 } // namespace session_test
