Test a fleet whose store loses answers and makes changes late

Cause: the tests replay single orders of events; the review's cause, an unanswered change taken for one that was not made, may have others.

--- /dev/null
+++ b/tests/proxy/simulated_fleet.cpp
@@ -0,0 +1,243 @@
+/// Store, targets and platform of the simulated fleet.
+#include "simulated_fleet.hpp"
+
+namespace session_test {
+
+namespace {
+
+constexpr duration Tick = 20ms;
+constexpr duration CallTimeout = 1500ms;
+constexpr duration PromotionTime = 1s;
+constexpr duration LeaseLength = 1600ms;
+
+} // namespace
+
+simulated_fleet::simulated_fleet(unsigned Seed, std::size_t HostCount)
+    : Random(Seed) {
+  for (std::size_t Index = 1; Index <= HostCount; ++Index)
+    startHost("host-" + std::to_string(Index));
+}
+
+void simulated_fleet::startHost(const std::string &Name) {
+  host_identity Identity;
+  Identity.Name = Name;
+  Identity.DataCentre = "suva";
+  Identity.PeerEndpoint = {"10.0.0.1", 7560};
+  Hosts[Name] = {makeHost(Identity), {}};
+  proxy_settings Settings;
+  Settings.Version = 1;
+  Settings.Groups[Group] = {16};
+  send(Name, events::store_reachability_changed{true});
+  send(Name, events::settings_changed{Settings});
+  send(Name, events::targets_listed{entries()});
+  for (const auto &[Key, Record] : Records)
+    send(Name, events::record_changed{Record});
+}
+
+void simulated_fleet::restartHost(const std::string &Name) { startHost(Name); }
+
+std::vector<target_entry> simulated_fleet::entries() const {
+  std::vector<target_entry> Entries;
+  for (const std::string Id : {"a", "b", "c"}) {
+    Entries.push_back(host_driver::makeEntry(Id, Id == Leader));
+    Entries.back().Draining = Draining.contains(Id);
+  }
+  return Entries;
+}
+
+void simulated_fleet::listTargets(const std::set<std::string> &NowDraining) {
+  Draining = NowDraining;
+  broadcast(events::targets_listed{entries()});
+}
+
+void simulated_fleet::advanceTime(duration Span) {
+  const instant End = Now + Span;
+  while (Now < End) {
+    Now += Tick;
+    runScheduled();
+    endLeases();
+    for (auto &[Name, Simulated] : Hosts)
+      send(Name, events::tick{});
+    checkRules();
+  }
+}
+
+bool simulated_fleet::isServing() const {
+  const auto Found = Records.find(std::string(GroupsPrefix) + Group);
+  if (Found == Records.end())
+    return false;
+  const auto Record = parseGroupRecord(Found->second.Value);
+  return Record && Record->Open && Record->Primary == Leader;
+}
+
+void simulated_fleet::send(const std::string &Name, event Event) {
+  simulated_host &Simulated = Hosts.at(Name);
+  step(*Simulated.Host, std::move(Event), Now, Simulated.Effects);
+  effect_list Effects;
+  Effects.swap(Simulated.Effects);
+  for (const effect &Effect : Effects)
+    carryOut(Name, Effect);
+}
+
+void simulated_fleet::broadcast(const event &Event) {
+  // A watch tells of a change within 100 ms.
+  for (const auto &[Name, Simulated] : Hosts)
+    Scheduled.emplace(Now + Tick * static_cast<int>(1 + 5 * draw()),
+                      [this, Name = Name, Event] { send(Name, Event); });
+}
+
+void simulated_fleet::runScheduled() {
+  while (!Scheduled.empty() && Scheduled.begin()->first <= Now) {
+    const auto Next = std::move(Scheduled.begin()->second);
+    Scheduled.erase(Scheduled.begin());
+    Next();
+  }
+}
+
+void simulated_fleet::carryOut(const std::string &Name, const effect &Effect) {
+  if (const auto *Change = std::get_if<effects::change_records>(&Effect))
+    carryOut(Name, *Change);
+  else if (const auto *Read = std::get_if<effects::read_records>(&Effect))
+    carryOut(Name, *Read);
+  else if (const auto *Order = std::get_if<effects::order_promotion>(&Effect))
+    carryOut(Name, *Order);
+  else if (std::holds_alternative<effects::grant_lease>(Effect))
+    renew(Name, ++LastLease);
+  else if (const auto *Renew = std::get_if<effects::renew_lease>(&Effect))
+    renew(Name, Renew->Lease);
+  else if (const auto *Revoke = std::get_if<effects::revoke_lease>(&Effect))
+    Leases.erase(Revoke->Lease);
+  else if (const auto *Probe = std::get_if<effects::probe_target>(&Effect))
+    Scheduled.emplace(
+        Now + Tick, [this, Name, Target = Probe->Target, Call = Probe->Call] {
+          send(Name, events::target_probed{Target, statusOf(Target), Call});
+        });
+}
+
+target_status simulated_fleet::statusOf(const std::string &Target) const {
+  return {Target == Leader, {1, 90}, Term};
+}
+
+void simulated_fleet::renew(const std::string &Name, std::uint64_t Lease) {
+  const bool IsNew = Lease == LastLease && !Leases.contains(Lease);
+  if (draw() < Faults.Rejected) {
+    Scheduled.emplace(Now + Tick, [this, Name, SentAt = Now] {
+      send(Name, events::lease_answered{0, {}, SentAt, false});
+    });
+    return;
+  }
+  const bool Lasts = IsNew || Leases.contains(Lease);
+  if (Lasts)
+    Leases[Lease] = Now + LeaseLength;
+  Scheduled.emplace(Now + Tick, [this, Name, Lease, Lasts, SentAt = Now] {
+    send(Name,
+         events::lease_answered{Lasts ? Lease : 0, LeaseLength, SentAt, true});
+  });
+}
+
+void simulated_fleet::carryOut(const std::string &Name,
+                               const effects::change_records &Change) {
+  const double Luck = draw();
+  const auto Answer = [this, Name, Call = Change.Call](duration Delay,
+                                                       change_outcome Outcome,
+                                                       std::uint64_t At) {
+    Scheduled.emplace(Now + Delay, [this, Name, Call, Outcome, At] {
+      send(Name, events::change_ended{Call, Outcome, At});
+    });
+  };
+  if (Luck < Faults.Rejected) {
+    Answer(Tick, change_outcome::Rejected, 0);
+  } else if (Luck < Faults.Rejected + Faults.Late) {
+    const auto Delay =
+        1s + std::chrono::milliseconds(static_cast<int>(5000 * draw()));
+    Scheduled.emplace(Now + Delay, [this, Change] { (void)apply(Change); });
+    Answer(CallTimeout, change_outcome::Unknown, 0);
+  } else {
+    const change_outcome Outcome = apply(Change);
+    const bool IsLost = Luck < Faults.Rejected + Faults.Late + Faults.Lost;
+    Answer(IsLost ? CallTimeout : Tick,
+           IsLost ? change_outcome::Unknown : Outcome, Revision);
+  }
+}
+
+change_outcome simulated_fleet::apply(const effects::change_records &Change) {
+  for (const auto &[Key, Expected] : Change.Expected) {
+    const auto Found = Records.find(Key);
+    if ((Found == Records.end() ? 0 : Found->second.Revision) != Expected)
+      return change_outcome::Conflict;
+  }
+  for (const store_write &Write : Change.Writes)
+    if (Write.BoundToLease && !Leases.contains(Change.Lease))
+      return change_outcome::LeaseGone;
+  Revision += 1;
+  for (const store_write &Write : Change.Writes)
+    write(Write, Change.Lease);
+  for (const std::string &Key : Change.Deletes)
+    erase(Key);
+  return change_outcome::Done;
+}
+
+void simulated_fleet::write(const store_write &Write, std::uint64_t Lease) {
+  const store_record Record{Write.Key, Write.Value, Revision,
+                            Write.BoundToLease ? Lease : 0};
+  Records[Write.Key] = Record;
+  broadcast(events::record_changed{Record});
+}
+
+void simulated_fleet::erase(const std::string &Key) {
+  Records.erase(Key);
+  broadcast(events::record_removed{Key, Revision});
+}
+
+void simulated_fleet::endLeases() {
+  std::erase_if(Leases, [&](const auto &Lease) { return Lease.second <= Now; });
+  std::vector<std::string> Ended;
+  for (const auto &[Key, Record] : Records)
+    if (Record.Lease != 0 && !Leases.contains(Record.Lease))
+      Ended.push_back(Key);
+  for (const std::string &Key : Ended) {
+    Revision += 1;
+    erase(Key);
+  }
+}
+
+void simulated_fleet::carryOut(const std::string &Name,
+                               const effects::read_records &Read) {
+  events::records_read Event{Read.Call, Read.Prefix, {}, true, Revision};
+  for (const auto &[Key, Record] : Records)
+    if (Key.starts_with(Read.Prefix))
+      Event.Records.push_back(Record);
+  Scheduled.emplace(Now + Tick, [this, Name, Event] { send(Name, Event); });
+}
+
+void simulated_fleet::carryOut(const std::string &Name,
+                               const effects::order_promotion &Order) {
+  if (Order.FencingToken < HighestToken)
+    Violations.push_back(Name + " orders with an earlier token");
+  HighestToken = Order.FencingToken;
+  Scheduled.emplace(Now + PromotionTime, [this, Target = Order.Target] {
+    if (Target == Leader)
+      return;
+    Leader = Target;
+    Term += 1;
+    Promotions += 1;
+    broadcast(events::targets_listed{entries()});
+  });
+  Scheduled.emplace(Now + Tick, [this, Name, Group = Order.Group] {
+    send(Name, events::promotion_answered{Group, order_outcome::Accepted});
+  });
+}
+
+void simulated_fleet::checkRules() {
+  for (const auto &[Name, Simulated] : Hosts) {
+    const auto &Groups = Simulated.Host->Groups;
+    const auto Found = Groups.find(Group);
+    if (Found != Groups.end() && Found->second.Record &&
+        Found->second.Record->Primary != Leader &&
+        mayUsePrimary(*Simulated.Host, Group, Now))
+      Violations.push_back(Name + " may use " + Found->second.Record->Primary +
+                           " while " + Leader + " is primary");
+  }
+}
+
+} // namespace session_test
--- /dev/null
+++ b/tests/proxy/simulated_fleet.hpp
@@ -0,0 +1,77 @@
+/// A fleet of hosts on virtual time, with a store that loses answers and makes
+/// changes late, and a group whose members are promoted.
+#pragma once
+
+#include "host_driver.hpp"
+
+#include <proxy/parts.hpp>
+
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace session_test {
+
+/// \brief Shares of the store's calls that do not go well.
+struct store_faults {
+  double Lost = 0;     ///< Made, without an answer.
+  double Late = 0;     ///< Made 1 to 6 s later, without an answer.
+  double Rejected = 0; ///< Not made.
+};
+
+struct simulated_host {
+  host_pointer Host;
+  effect_list Effects;
+};
+
+struct simulated_fleet {
+  explicit simulated_fleet(unsigned Seed, std::size_t Hosts);
+
+  instant Now = instant(1000s);
+  std::mt19937 Random;
+  store_faults Faults;
+  std::map<std::string, simulated_host> Hosts;
+  std::map<std::string, store_record> Records;
+  std::uint64_t Revision = 10;
+  std::uint64_t LastLease = 100;
+  std::map<std::uint64_t, instant> Leases; ///< By id, until when they last.
+  std::multimap<instant, std::function<void()>> Scheduled;
+  std::string Leader = "a"; ///< Primary of the group.
+  std::uint64_t Term = 1;
+  std::set<std::string> Draining;
+  std::uint64_t HighestToken = 0;
+  std::size_t Promotions = 0;
+  std::vector<std::string> Violations;
+
+  void startHost(const std::string &Name);
+  /// \brief Ends a host; another process starts under its name at once.
+  void restartHost(const std::string &Name);
+  void listTargets(const std::set<std::string> &NowDraining);
+  void advanceTime(duration Span);
+  /// \brief Whether the group's record is open for its primary.
+  [[nodiscard]] bool isServing() const;
+
+private:
+  void send(const std::string &Name, event Event);
+  void broadcast(const event &Event);
+  void runScheduled();
+  void carryOut(const std::string &Name, const effect &Effect);
+  void carryOut(const std::string &Name, const effects::change_records &Change);
+  void carryOut(const std::string &Name, const effects::read_records &Read);
+  void carryOut(const std::string &Name, const effects::order_promotion &Order);
+  void renew(const std::string &Name, std::uint64_t Lease);
+  /// Makes a change if its condition holds.
+  change_outcome apply(const effects::change_records &Change);
+  void write(const store_write &Write, std::uint64_t Lease);
+  void erase(const std::string &Key);
+  void endLeases();
+  void checkRules();
+  [[nodiscard]] target_status statusOf(const std::string &Target) const;
+  [[nodiscard]] std::vector<target_entry> entries() const;
+  double draw() { return std::uniform_real_distribution<>(0, 1)(Random); }
+};
+
+} // namespace session_test
