--- a/tests/proxy/simulated_fleet.cpp
+++ b/tests/proxy/simulated_fleet.cpp
@@ -1,6 +1,8 @@
 /// Store, targets and platform of the simulated fleet.
 #include "simulated_fleet.hpp"
 
+#include <utility>
+
 namespace session_test {
 
 namespace {
@@ -82,7 +84,7 @@
 void simulated_fleet::answer(const std::string &Name, duration Delay,
                              std::function<event()> Make) {
   const unsigned Process = Hosts.at(Name).Process;
-  Scheduled.emplace(Now + Delay, [this, Name, Process, Make] {
+  Scheduled.emplace(Now + Delay, [this, Name, Process, Make = std::move(Make)] {
     if (Hosts.at(Name).Process == Process)
       send(Name, Make());
   });
