Log when an order to promote leaves the host

Cause: promotion.stage tells when an order is decided and promotion.answered when the platform has answered.

Change: promotion.sent tells the order's token, how long it has waited since it was decided, and whether the host still holds the role.

Ruled out: the time of the TCP write alone, as the order's own data (token, group) are needed to match it with the platform's view.

Result: no decision changes.

--- a/include/bronzespar/proxy/interface.hpp
+++ b/include/bronzespar/proxy/interface.hpp
@@ -203,6 +203,13 @@
   instant SentAt{};
   bool Answered = false;
 };
+/// \brief An order to promote leaves this host now.
+struct promotion_sent {
+  std::string Group;
+  std::string Target;
+  std::uint64_t FencingToken = 0;
+  instant DecidedAt{}; ///< As in order_promotion.
+};
 /// \brief The platform's answer to order_promotion.
 struct promotion_answered {
   std::string Group;
@@ -266,8 +273,8 @@
     events::targets_listed, events::store_reachability_changed,
     events::isolation_changed, events::record_changed, events::record_removed,
     events::records_read, events::change_ended, events::lease_answered,
-    events::promotion_answered, events::forward_requested,
-    events::forward_ended, events::forward_pending, events::peer_lost,
+    events::promotion_sent, events::promotion_answered,
+    events::forward_requested, events::forward_ended, events::forward_pending, events::peer_lost,
     events::vote_requested, events::vote_received, events::position_requested,
     events::position_received, events::tokens_requested, events::tokens_granted,
     events::stop_requested, events::tick>;
@@ -340,6 +347,7 @@
   std::string Target;
   std::string Holder;
   std::uint64_t FencingToken = 0;
+  instant DecidedAt{}; ///< It may wait in a queue before it is sent.
 };
 
 /// \brief Ask a target's connection owner to run a statement. The result is
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -242,6 +242,7 @@
 [[nodiscard]] bool promotionChangeEnded(step_context &Step,
                                         const events::change_ended &Event);
 void targetProbed(step_context &Step, const events::target_probed &Event);
+void promotionSent(step_context &Step, const events::promotion_sent &Event);
 void promotionAnswered(step_context &Step,
                        const events::promotion_answered &Event);
 
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -291,7 +291,7 @@
   Group.Promotion.Statuses.clear();
   Step.Out.push_back(effects::order_promotion{
       Name, Group.Promotion.Candidate, Step.State.Identity.Name,
-      Step.State.Coordinator.FencingToken});
+      Step.State.Coordinator.FencingToken, Step.Now});
 }
 
 /// Probes the targets again, and returns to the old primary when no replica
@@ -497,6 +497,15 @@
   }
 }
 
+void promotionSent(step_context &Step, const events::promotion_sent &Event) {
+  logLine(Step, "promotion.sent",
+          {{"group", Event.Group},
+           {"target", Event.Target},
+           {"token", std::to_string(Event.FencingToken)},
+           {"waited_ms", elapsedMsText(Event.DecidedAt, Step.Now)},
+           {"held", Step.State.Coordinator.IsHeld ? "true" : "false"}});
+}
+
 void promotionAnswered(step_context &Step,
                        const events::promotion_answered &Event) {
   group_state *Group = findIn(Step.State.Groups, Event.Group);
