Check the right to order where an order leaves the host

What callers saw: nothing in the case itself.

Cause: isCoordinator was asked when an order was decided. Orders then waited in the connection to the platform, each for the answer to the one before, and on SIGTERM the role was returned although orders waited and one was under way.

Change: the connection asks right before it writes a call whether it may still be sent. An order needs the role with its token, a valid lease, the closed record as the promotion wrote it, and an age of at most 400 ms. One that is dropped is reported as NotSent and decided anew. A host that stops finishes the promotions that it has ordered before it returns the role or ends. A connection that could not be made counts as not sent, where the order counted as accepted before and was repeated after 3.5 s.

Ruled out: a shorter time-out of the answers (the next order still leaves unchecked); a longer wait of the successor (no wait covers a queue of any length).

Tests: with mayOrder returning true and the stop as before, two cases of handover_tests failed (the role was returned, and the lease revoked, under an order).

Conclusion: the time for which an order waits no longer matters.

--- a/include/bronzespar/proxy/host.hpp
+++ b/include/bronzespar/proxy/host.hpp
@@ -35,4 +35,11 @@
 /// \param Effects New effects are appended to it.
 void step(host &State, event Event, instant Now, effect_list &Effects);
 
+/// \brief Whether an order may leave this host now.
+/// \remarks An order may wait for a connection, or its process be suspended,
+/// and the host may lose the coordinator role meanwhile. The adapter therefore
+/// asks right before it sends the order.
+[[nodiscard]] bool mayOrder(const host &State,
+                            const effects::order_promotion &Order, instant Now);
+
 } // namespace bronzespar::proxy
--- a/include/bronzespar/proxy/interface.hpp
+++ b/include/bronzespar/proxy/interface.hpp
@@ -53,9 +53,10 @@
 enum class order_outcome {
   Accepted,   ///< Or without an answer: it may be carried out.
   NotRunning, ///< The target does not run, so that it can't be promoted.
-  Rejected    ///< The platform did nothing: it is down or overloaded.
+  Rejected,   ///< The platform did nothing: it is down or overloaded.
+  NotSent     ///< The order never left this host; see mayOrder in host.hpp.
 };
-BOOST_DESCRIBE_ENUM(order_outcome, Accepted, NotRunning, Rejected)
+BOOST_DESCRIBE_ENUM(order_outcome, Accepted, NotRunning, Rejected, NotSent)
 
 /// \brief Tokens of one account that a host requests or grants.
 struct token_transfer {
@@ -274,10 +275,11 @@
     events::isolation_changed, events::record_changed, events::record_removed,
     events::records_read, events::change_ended, events::lease_answered,
     events::promotion_sent, events::promotion_answered,
-    events::forward_requested, events::forward_ended, events::forward_pending, events::peer_lost,
-    events::vote_requested, events::vote_received, events::position_requested,
-    events::position_received, events::tokens_requested, events::tokens_granted,
-    events::stop_requested, events::tick>;
+    events::forward_requested, events::forward_ended, events::forward_pending,
+    events::peer_lost, events::vote_requested, events::vote_received,
+    events::position_requested, events::position_received,
+    events::tokens_requested, events::tokens_granted, events::stop_requested,
+    events::tick>;
 
 namespace effects {
 
@@ -348,6 +350,8 @@
   std::string Holder;
   std::uint64_t FencingToken = 0;
   instant DecidedAt{}; ///< It may wait in a queue before it is sent.
+  /// It is dropped instead of being sent at this time or later.
+  instant SendBefore{};
 };
 
 /// \brief Ask a target's connection owner to run a statement. The result is
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -233,12 +233,16 @@
 void superviseCoordinatorRole(step_context &Step);
 /// \brief Removes the role's key, if this host owns it, so that another host
 /// can claim the role without waiting for the end of the lease.
+/// \remarks Waits while an order is under way, which its successor would not
+/// know of.
 void returnCoordinatorRole(step_context &Step);
 [[nodiscard]] bool coordinatorChangeEnded(step_context &Step,
                                           const events::change_ended &Event);
 /// \brief Whether this host is the coordinator and may give orders.
 [[nodiscard]] bool isCoordinator(const host &State, instant Now);
 void supervisePromotions(step_context &Step);
+/// \brief Whether a promotion was ordered whose replica is not used yet.
+[[nodiscard]] bool hasOrderUnderWay(const host &State);
 [[nodiscard]] bool promotionChangeEnded(step_context &Step,
                                         const events::change_ended &Event);
 void targetProbed(step_context &Step, const events::target_probed &Event);
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -25,6 +25,9 @@
 /// A replica is never promoted later than this after the order. Another order
 /// before that could make two primaries.
 constexpr duration MaxPromotionTime = std::chrono::milliseconds(3500);
+/// An order that was not sent by then is decided anew. MaxPromotionTime counts
+/// from the decision, so that the wait must be a small part of it.
+constexpr duration MaxOrderWait = std::chrono::milliseconds(400);
 /// Delay after an order that the platform did not accept.
 constexpr duration OrderRetryDelay = std::chrono::milliseconds(100);
 /// A planned change waits this long for a replica to catch up.
@@ -291,7 +294,8 @@
   Group.Promotion.Statuses.clear();
   Step.Out.push_back(effects::order_promotion{
       Name, Group.Promotion.Candidate, Step.State.Identity.Name,
-      Step.State.Coordinator.FencingToken, Step.Now});
+      Step.State.Coordinator.FencingToken, Step.Now,
+      Step.Now + MaxOrderWait});
 }
 
 /// Probes the targets again, and returns to the old primary when no replica
@@ -414,6 +418,11 @@
   return true;
 }
 
+bool isOrderUnderWay(const promotion_state &Promotion) {
+  return Promotion.Stage == promotion_stage::Ordered ||
+         Promotion.Stage == promotion_stage::Opening;
+}
+
 void superviseGroup(step_context &Step, const std::string &Name,
                     group_state &Group) {
   switch (Group.Promotion.Stage) {
@@ -447,9 +456,13 @@
         Group.Promotion = {};
     return;
   }
-  for (auto &[Name, Group] : Step.State.Groups)
-    if (Step.State.Settings->Groups.contains(Name))
+  for (auto &[Name, Group] : Step.State.Groups) {
+    // A host that stops only finishes what it has ordered.
+    if (Step.State.Stopping && !isOrderUnderWay(Group.Promotion))
+      Group.Promotion = {};
+    else if (Step.State.Settings->Groups.contains(Name))
       superviseGroup(Step, Name, Group);
+  }
 }
 
 bool promotionChangeEnded(step_context &Step,
@@ -482,6 +495,23 @@
   return false;
 }
 
+bool hasOrderUnderWay(const host &State) {
+  return std::any_of(State.Groups.begin(), State.Groups.end(),
+                     [](const auto &Entry) {
+                       return isOrderUnderWay(Entry.second.Promotion);
+                     });
+}
+
+bool mayOrder(const host &State, const effects::order_promotion &Order,
+              instant Now) {
+  const auto Group = State.Groups.find(Order.Group);
+  return Now < Order.SendBefore && isCoordinator(State, Now) &&
+         State.Coordinator.FencingToken == Order.FencingToken &&
+         Group != State.Groups.end() &&
+         Group->second.Promotion.Stage == promotion_stage::Ordered &&
+         Group->second.Revision == Group->second.Promotion.ClosedRevision;
+}
+
 void targetProbed(step_context &Step, const events::target_probed &Event) {
   witnessProbed(Step, Event.Target, Event.Status.has_value());
   if (Event.Call == 0)
--- a/src/proxy/stopping.cpp
+++ b/src/proxy/stopping.cpp
@@ -58,10 +58,13 @@
   closeIdleSessions(Step);
   if (Elapsed >= State.Identity.GracePeriod / 2)
     abortTransactions(Step);
-  if (!State.Sessions.empty() &&
+  const bool OrderUnderWay = hasOrderUnderWay(State);
+  if ((!State.Sessions.empty() || OrderUnderWay) &&
       Elapsed < State.Identity.GracePeriod - FinalAnswerTime)
     return;
-  if (State.Lease.Id != 0)
+  // The end of the lease frees the coordinator role, also for a host that does
+  // not know of the order.
+  if (State.Lease.Id != 0 && !OrderUnderWay)
     Step.Out.push_back(effects::revoke_lease{State.Lease.Id});
   logLine(Step, "host.stopped",
           {{"sessions", std::to_string(State.Sessions.size())}});
--- a/src/serve/session_daemon.cpp
+++ b/src/serve/session_daemon.cpp
@@ -56,6 +56,9 @@
             [this](const std::string &Key, const std::string &Fault) {
               writeLog("store.unusable", {{"key", Key}, {"fault", Fault}});
             },
+            [this](const effects::order_promotion &Order) {
+              return proxy::mayOrder(*Host, Order, bootNow());
+            },
             bootNow),
         Readiness(
             Io, Settings.Readiness,
--- a/tests/platform/http_link_tests.cpp
+++ b/tests/platform/http_link_tests.cpp
@@ -100,3 +100,54 @@
   CHECK(Answered.Status == 200);
   CHECK(Answered.Body == "{}");
 }
+
+TEST_CASE("A call that may not be sent when its turn comes is dropped") {
+  // Guards against an order to promote that waits behind a slow one, and is
+  // sent after the host has given up the role.
+  unresponsive_server Server;
+  Server.accept();
+  http_link Link(Server.Io, Server.where());
+  bool MaySend = true;
+  std::size_t Asked = 0;
+  http_answer Dropped;
+  Link.call(callWithTimeout(100ms), [&](const http_answer &Answer) {
+    CHECK(Answer.Sent);
+    MaySend = false;
+  });
+  http_call Waiting = callWithTimeout(100ms);
+  Waiting.MaySend = [&] {
+    Asked += 1;
+    return MaySend;
+  };
+  Link.call(std::move(Waiting),
+            [&](http_answer Answer) { Dropped = std::move(Answer); });
+  tcp::socket Second(Server.Io);
+  std::array<char, 64> Chunk{};
+  std::size_t Received = 0;
+  Server.Acceptor.async_accept(Second, [&](boost::system::error_code Error) {
+    REQUIRE_FALSE(Error);
+    Second.async_read_some(asio::buffer(Chunk),
+                           [&](boost::system::error_code, std::size_t Length) {
+                             Received = Length;
+                           });
+  });
+  Server.Io.run_for(400ms);
+  CHECK(Asked == 1);
+  CHECK(Dropped.Status == 0);
+  CHECK_FALSE(Dropped.Sent);
+  CHECK(Received == 0);
+}
+
+TEST_CASE("A call whose connection fails was not sent") {
+  asio::io_context Io;
+  tcp::acceptor Unused(Io, {asio::ip::address_v4::loopback(), 0});
+  const endpoint Where{"127.0.0.1", Unused.local_endpoint().port()};
+  Unused.close();
+  http_link Link(Io, Where);
+  http_answer Answered;
+  Link.call(callWithTimeout(100ms),
+            [&](http_answer Answer) { Answered = std::move(Answer); });
+  Io.run_for(300ms);
+  CHECK(Answered.Status == 0);
+  CHECK_FALSE(Answered.Sent);
+}
--- a/tests/platform/odd_entry_tests.cpp
+++ b/tests/platform/odd_entry_tests.cpp
@@ -106,6 +106,7 @@
           Listed.push_back(Entry.Id);
       },
       [this](const std::string &, const std::string &) { Faults += 1; },
+      [](const proxy::effects::order_promotion &) { return true; },
       [] { return Now; }};
 
   targets_fixture() { Client.start(); }
--- a/tests/platform/store_client_tests.cpp
+++ b/tests/platform/store_client_tests.cpp
@@ -22,26 +22,31 @@
   boost::asio::io_context Io;
   std::vector<pending_call> Calls;
   std::vector<proxy::events::records_read> Reads;
+  std::vector<proxy::order_outcome> Orders;
+  bool MayOrder = true;
   store_client Client{
       Io, channels(),
       [this](proxy::event Event) {
         if (auto *Read = std::get_if<proxy::events::records_read>(&Event))
           Reads.push_back(std::move(*Read));
+        if (auto *Ended = std::get_if<proxy::events::promotion_answered>(&Event))
+          Orders.push_back(Ended->Outcome);
       },
       [](const std::string &, const std::string &) {},
+      [this](const proxy::effects::order_promotion &) { return MayOrder; },
       [] { return instant(1000s); }};
 
   platform_channels channels() {
     const auto Ignore = [](const http_call &, const http_callback &) {};
     platform_channels Channels;
     Channels.Lease = Ignore;
-    Channels.Promotion = Ignore;
     Channels.Operator = Ignore;
     Channels.Targets = Ignore;
     Channels.Records = Ignore;
     Channels.Change = [this](http_call Call, http_callback Done) {
       Calls.push_back({std::move(Call), std::move(Done)});
     };
+    Channels.Promotion = Channels.Change;
     return Channels;
   }
 
@@ -101,3 +106,26 @@
   REQUIRE(Fixture.Reads.size() == 1);
   CHECK_FALSE(Fixture.Reads.front().Answered);
 }
+
+TEST_CASE("An order is checked when it is sent, not when it is queued") {
+  // Guards against an order that a host sends after it has lost the
+  // coordinator role: the order had waited for the answers to earlier ones.
+  client_fixture Fixture;
+  Fixture.Client.carryOut(proxy::effects::order_promotion{});
+  REQUIRE(Fixture.Calls.size() == 1);
+  REQUIRE(Fixture.Calls.front().Call.MaySend);
+  CHECK(Fixture.Calls.front().Call.MaySend());
+  Fixture.MayOrder = false;
+  CHECK_FALSE(Fixture.Calls.front().Call.MaySend());
+}
+
+TEST_CASE("An order that was not sent is told apart from an unanswered one") {
+  client_fixture Fixture;
+  for (const bool Sent : {false, true}) {
+    Fixture.Client.carryOut(proxy::effects::order_promotion{});
+    Fixture.answer({0, {}, Sent});
+  }
+  CHECK(Fixture.Orders ==
+        std::vector{proxy::order_outcome::NotSent,
+                    proxy::order_outcome::Accepted});
+}
--- a/tests/proxy/coordinator_driver.hpp
+++ b/tests/proxy/coordinator_driver.hpp
@@ -37,7 +37,8 @@
 /// Answers the changes of groups' records that the coordinator has requested.
 inline void storeGroupRecords(host_driver &Driver) {
   for (const auto &Change : Driver.takeEffects<effects::change_records>())
-    if (Change.Writes.front().Key.starts_with(GroupsPrefix))
+    if (!Change.Writes.empty() &&
+        Change.Writes.front().Key.starts_with(GroupsPrefix))
       Driver.send(events::change_ended{Change.Call, change_outcome::Done,
                                        ++Driver.Revision});
 }
--- /dev/null
+++ b/tests/proxy/handover_tests.cpp
@@ -0,0 +1,131 @@
+/// Orders of a host that stops or loses the coordinator role.
+#include "coordinator_driver.hpp"
+
+#include <proxy/parts.hpp>
+
+using namespace session_test;
+
+namespace {
+
+const std::map<std::string, target_status> BeforePromotion = {
+    {"b", {false, {1, 90}, 1}}, {"c", {false, {1, 90}, 1}}};
+const std::map<std::string, target_status> AfterPromotion = {
+    {"b", {true, {2, 0}, 2}}, {"c", {false, {1, 90}, 1}}};
+
+void goOn(host_driver &Driver, duration Span,
+          const std::map<std::string, target_status> &Statuses) {
+  const instant End = Driver.Now + Span;
+  while (Driver.Now < End) {
+    Driver.grantLease(7);
+    Driver.advanceTime(20ms);
+    acknowledgeClosure(Driver, 100);
+    answerProbes(Driver, Statuses);
+  }
+}
+
+/// A coordinator that has just ordered to promote b.
+effects::order_promotion orderPromotion(host_driver &Driver) {
+  becomeCoordinator(Driver);
+  reportUnreachable(Driver, "host-2", "a");
+  for (int Round = 0; Round < 20; ++Round) {
+    goOn(Driver, 20ms, BeforePromotion);
+    const auto Orders = Driver.takeEffects<effects::order_promotion>();
+    if (!Orders.empty())
+      return Orders.front();
+    storeGroupRecords(Driver);
+  }
+  FAIL("no promotion was ordered");
+  return {};
+}
+
+bool returnsRole(host_driver &Driver) {
+  for (const auto &Change : Driver.takeEffects<effects::change_records>())
+    for (const std::string &Key : Change.Deletes)
+      if (Key == CoordinatorKey)
+        return true;
+  return false;
+}
+
+} // namespace
+
+TEST_CASE("A stopping coordinator keeps the role until its order is carried "
+          "out") {
+  // Guards against two coordinators at a time: the successor of a host that
+  // had returned the role gave orders while one of that host was under way.
+  host_driver Driver;
+  (void)orderPromotion(Driver);
+  Driver.send(events::stop_requested{});
+  goOn(Driver, 600ms, BeforePromotion);
+  CHECK_FALSE(returnsRole(Driver));
+  goOn(Driver, 60ms, AfterPromotion);
+  storeGroupRecords(Driver);
+  Driver.advanceTime(20ms);
+  CHECK(returnsRole(Driver));
+}
+
+TEST_CASE("A stopping coordinator without an order returns the role at once") {
+  host_driver Driver;
+  becomeCoordinator(Driver);
+  Driver.send(events::stop_requested{});
+  CHECK(returnsRole(Driver));
+}
+
+TEST_CASE("A host does not end while its order is under way") {
+  // The end of its lease would free the role before the order has arrived.
+  host_driver Driver;
+  (void)orderPromotion(Driver);
+  Driver.send(events::stop_requested{});
+  goOn(Driver, 3s, BeforePromotion);
+  CHECK(Driver.takeEffects<effects::revoke_lease>().empty());
+  CHECK(Driver.takeEffects<effects::stop_process>().empty());
+  goOn(Driver, 60ms, AfterPromotion);
+  storeGroupRecords(Driver);
+  Driver.advanceTime(40ms);
+  CHECK_FALSE(Driver.takeEffects<effects::stop_process>().empty());
+}
+
+TEST_CASE("An order that was just decided may be sent") {
+  host_driver Driver;
+  const auto Order = orderPromotion(Driver);
+  CHECK(mayOrder(*Driver.Host, Order, Driver.Now));
+}
+
+TEST_CASE("An order that has waited for long is not sent") {
+  // A replica may be promoted as long after the sending as the coordinator
+  // waits after the decision; it would order another one meanwhile.
+  host_driver Driver;
+  const auto Order = orderPromotion(Driver);
+  goOn(Driver, 400ms, BeforePromotion);
+  CHECK_FALSE(mayOrder(*Driver.Host, Order, Driver.Now));
+}
+
+TEST_CASE("An order is not sent by a host that lost the role meanwhile") {
+  host_driver Driver;
+  const auto Order = orderPromotion(Driver);
+  Driver.removeRecord(std::string(CoordinatorKey));
+  CHECK_FALSE(mayOrder(*Driver.Host, Order, Driver.Now));
+}
+
+TEST_CASE("An order is not sent under a lease that ended meanwhile") {
+  // The process was suspended between the decision and the sending.
+  host_driver Driver;
+  auto Order = orderPromotion(Driver);
+  Order.SendBefore = instant::max();
+  Driver.Now += 1600ms;
+  CHECK_FALSE(mayOrder(*Driver.Host, Order, Driver.Now));
+}
+
+TEST_CASE("An order is not sent once the closed record was changed") {
+  host_driver Driver;
+  const auto Order = orderPromotion(Driver);
+  Driver.writeGroupRecord("a", 3, true);
+  CHECK_FALSE(mayOrder(*Driver.Host, Order, Driver.Now));
+}
+
+TEST_CASE("An order that was not sent is decided anew") {
+  host_driver Driver;
+  (void)orderPromotion(Driver);
+  Driver.send(events::promotion_answered{Group, order_outcome::NotSent});
+  goOn(Driver, 400ms, BeforePromotion);
+  CHECK(Driver.takeEffects<effects::order_promotion>().size() == 1);
+}
