End a transaction with the right to use its primary

Cause: the right to use a primary was checked when a transaction began there, and not for its further statements, nor for the statement after a setup. Only a record that stays closed for 250 ms ended such transactions; the suspended host learnt of the closed record and, 34 ms later, of the next primary.

Change: a connection remembers the generation and the lease under which its target is used as primary, and each further statement is checked against them when it is sent. A transaction whose right has ended is aborted; a commit that was sent before and is not answered within 250 ms after the end of the right is in doubt.

Ruled out: ending all transactions when a lease lapses (under an unchanged record no other primary can have been promoted); relying on the record alone (a partitioned host has no news of it).

--- a/models/primary_lease.pml
+++ b/models/primary_lease.pml
@@ -6,12 +6,20 @@
  * of them has acknowledged or is no longer registered, and then promotes. Watches may
  * lag for any time, calls may be lost, and hosts may be suspended at any step.
  *
+ * Callers open transactions at the primary. These go on while the host may use the
+ * primary, and for a while after it has learnt of the closed record; it acknowledges
+ * that only without transactions. A host keeps its transactions when its lease ends.
+ *
  * Broken variants, which the check must detect:
  *   BROKEN_REGISTER  hosts use the primary without waiting for their registration
  *   BROKEN_ORDER     hosts read the record before they register
  *   BROKEN_LIST      the coordinator reads the hosts before it closes the record
  *   BROKEN_LEASE     a host measures its lease from the answer to its call, so that the
  *                    store may end the lease first
+ *   BROKEN_TRANSACTION a transaction goes on without any check
+ *   BROKEN_RENEWED     a transaction goes on under whatever lease the host holds
+ *   BROKEN_CLOSING     a host that registers while the record is closed takes it for one
+ *                      whose closing waits for its acknowledgement
  */
 #define HOSTS 2
 
@@ -22,19 +30,33 @@
 bool leased[HOSTS];         /* holds a lease by the host's own clock */
 bool believes_open[HOSTS];  /* the host has last read the record as open */
 
+bool closing[HOSTS];        /* the host has learnt that its record is being closed */
+bool transaction[HOSTS];    /* open at the primary */
+
 inline use_primary(h) {
   atomic {
-    (leased[h] && believes_open[h]) -> assert(!promoted)
+    (leased[h] && believes_open[h]) -> assert(!promoted); transaction[h] = true
   }
 }
 
+#ifdef BROKEN_TRANSACTION
+#define MAY_CONTINUE(h) true
+#else
+#ifdef BROKEN_RENEWED
+#define MAY_CONTINUE(h) leased[h]
+#else
+#define MAY_CONTINUE(h) (leased[h] && (believes_open[h] || closing[h]))
+#endif
+#endif
+
 proctype host(byte h) {
   bool read_open;
   bool registered;
 new_incarnation:
   /* A new incarnation, or a new lease after one that ended: no state is kept. */
   atomic {
-    believes_open[h] = false; acked[h] = false; registered = false; leased[h] = true
+    believes_open[h] = false; acked[h] = false; registered = false; leased[h] = true;
+    closing[h] = false
   }
 #ifdef BROKEN_ORDER
   atomic { read_open = !closed }
@@ -50,12 +72,19 @@
   believes_open[h] = read_open;
 #else
   believes_open[h] = read_open && registered;
+#endif
+#ifdef BROKEN_CLOSING
+  closing[h] = !read_open;
 #endif
   do
   :: believes_open[h] && leased[h] -> use_primary(h)
-  :: closed && registered -> /* the watch reports it, at any time */
-     believes_open[h] = false;
-     atomic { if :: listed[h] -> acked[h] = true :: else fi }
+  :: atomic { (transaction[h] && MAY_CONTINUE(h)) -> assert(!promoted) }
+  :: transaction[h] -> transaction[h] = false        /* it ends */
+  :: atomic { (closed && registered) -> /* the watch reports it, at any time */
+       closing[h] = believes_open[h] || closing[h]; believes_open[h] = false }
+  :: atomic { (closed && registered && !believes_open[h] && !transaction[h]) ->
+       closing[h] = false;
+       if :: listed[h] -> acked[h] = true :: else fi }
   :: leased[h] -> leased[h] = false; break           /* the lease ends by its clock */
   od;
   goto new_incarnation
--- a/models/primary_lease.sh
+++ b/models/primary_lease.sh
@@ -3,6 +3,7 @@
 # variants are found.
 source "$(dirname "$0")/check.inc"
 must_hold primary_lease
-for variant in BROKEN_REGISTER BROKEN_ORDER BROKEN_LIST BROKEN_LEASE; do
+for variant in BROKEN_REGISTER BROKEN_ORDER BROKEN_LIST BROKEN_LEASE \
+  BROKEN_TRANSACTION BROKEN_RENEWED BROKEN_CLOSING; do
   must_break primary_lease "$variant"
 done
--- a/src/proxy/connections.cpp
+++ b/src/proxy/connections.cpp
@@ -55,9 +55,20 @@
   leaveDialling(Step, Connection);
   Connection.Phase = connection_phase::Idle;
   Connection.Session = 0;
+  Connection.PrimaryGeneration = 0;
   Connection.IdleSince = Step.Now;
 }
 
+/// Notes under which record and lease a connection is used as a primary's.
+void beginUseOfPrimary(step_context &Step, target_connection &Connection) {
+  const group_state *Group = findIn(Step.State.Groups, Connection.Group);
+  if (Group == nullptr || !Group->Record)
+    return;
+  Connection.PrimaryGeneration = Group->Record->Generation;
+  Connection.PrimaryLease = Step.State.Lease.Id;
+  Connection.RightEndedAt.reset();
+}
+
 void sendStatement(step_context &Step, target_connection &Connection,
                    target_request &Request) {
   outgoing_statement Outgoing;
@@ -171,6 +182,12 @@
     return;
   target_request *Request = findIn(Step.State.Requests, Connection.Request);
   const bool HasCaller = Request != nullptr && Request->Session != 0;
+  if (Connection.SetupError == answer_code::Complete &&
+      !mayContinueAtPrimary(Step.State, Connection, Step.Now)) {
+    // The connection is closed, which ends what its setup began.
+    Connection.SetupError = answer_code::ReadOnly;
+    Connection.SetupIncomplete = true;
+  }
   if (HasCaller && Connection.SetupError == answer_code::Complete) {
     sendStatement(Step, Connection, *Request);
     return;
@@ -341,7 +358,7 @@
 }
 
 void beginAttempt(step_context &Step, target_connection &Connection,
-                  target_request &Request,
+                  target_request &Request, bool OnReplica,
                   std::optional<log_position> RequiredPosition) {
   caller_session &Session = Step.State.Sessions.at(Request.Session);
   Request.Connection = Connection.Number;
@@ -349,6 +366,8 @@
   Request.Attempts += 1;
   Connection.Request = Request.Number;
   Connection.BeginsTransaction = Request.InTransaction;
+  if (!OnReplica)
+    beginUseOfPrimary(Step, Connection);
   auto Setup = buildSetup(Connection, Session, Request);
   if (Request.InTransaction) {
     const auto Kind = Session.Transaction->ReadOnly ? statement_kind::BeginRead
@@ -497,6 +516,15 @@
     failLostAttempt(Step, Lost.Request, Number, false);
 }
 
+void failConnection(step_context &Step, connection_number Number) {
+  // Handling an earlier loss may have closed this connection.
+  const target_connection *Connection = findIn(Step.State.Connections, Number);
+  if (Connection == nullptr)
+    return;
+  requestClose(Step, *Connection);
+  targetLost(Step, Number);
+}
+
 void failConnections(step_context &Step, const std::string &Target,
                      bool OnlyInUse) {
   std::vector<connection_number> Numbers;
@@ -506,15 +534,8 @@
     if (Connection.Target == Target && (InUse || !OnlyInUse))
       Numbers.push_back(Number);
   }
-  for (const connection_number Number : Numbers) {
-    // Handling an earlier loss may have closed this connection.
-    const target_connection *Connection =
-        findIn(Step.State.Connections, Number);
-    if (Connection == nullptr)
-      continue;
-    requestClose(Step, *Connection);
-    targetLost(Step, Number);
-  }
+  for (const connection_number Number : Numbers)
+    failConnection(Step, Number);
 }
 
 void superviseConnections(step_context &Step) {
--- a/src/proxy/coordinator.cpp
+++ b/src/proxy/coordinator.cpp
@@ -101,8 +101,8 @@
 void returnCoordinatorRole(step_context &Step) {
   host &State = Step.State;
   coordinator_state &Role = State.Coordinator;
-  if (!ownsKey(State) || Role.ReturnCall != 0 ||
-      Step.Now < Role.NextReturnAt || hasOrderUnderWay(State))
+  if (!ownsKey(State) || Role.ReturnCall != 0 || Step.Now < Role.NextReturnAt ||
+      hasOrderUnderWay(State))
     return;
   Role.IsHeld = false;
   Role.ReturnCall = nextNumber(State);
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -26,6 +26,7 @@
   superviseWitnesses(Step);
   superviseLease(Step);
   superviseElectors(Step);
+  superviseWorkAtPrimaries(Step);
   superviseCoordinatorRole(Step);
   supervisePromotions(Step);
   dropAbsentTargets(Step);
@@ -80,9 +81,7 @@
   void operator()(events::records_read &Event) { recordsRead(Step, Event); }
   void operator()(events::change_ended &Event) { changeEnded(Step, Event); }
   void operator()(events::lease_answered &Event) { leaseAnswered(Step, Event); }
-  void operator()(events::promotion_sent &Event) {
-    promotionSent(Step, Event);
-  }
+  void operator()(events::promotion_sent &Event) { promotionSent(Step, Event); }
   void operator()(events::promotion_answered &Event) {
     promotionAnswered(Step, Event);
   }
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -121,8 +121,9 @@
 void requestClose(step_context &Step, const target_connection &Connection);
 void dialTarget(step_context &Step, target_view &Target,
                 const std::string &Account);
+/// \param OnReplica The target is used without the right to use a primary.
 void beginAttempt(step_context &Step, target_connection &Connection,
-                  target_request &Request,
+                  target_request &Request, bool OnReplica,
                   std::optional<log_position> RequiredPosition);
 void continueTransaction(step_context &Step, target_connection &Connection,
                          target_request &Request);
@@ -132,6 +133,8 @@
 void targetRefused(step_context &Step, const events::target_refused &Event);
 void targetAnswered(step_context &Step, events::target_answered &&Event);
 void targetLost(step_context &Step, connection_number Number);
+/// \brief Closes a connection and fails its statement as lost.
+void failConnection(step_context &Step, connection_number Number);
 /// \brief Closes a target's connections and fails their statements as lost.
 /// \param OnlyInUse Idle and dialling connections are kept.
 void failConnections(step_context &Step, const std::string &Target,
@@ -161,6 +164,8 @@
 // (primaries.cpp).
 [[nodiscard]] bool mayUsePrimary(const host &State, const std::string &Group,
                                  instant Now);
+/// \brief Whether the lease is valid and the records were read under it.
+[[nodiscard]] bool hasValidLease(const host &State, instant Now);
 void superviseLease(step_context &Step);
 /// \brief Gives up the lease with the registration and the read of records
 /// under it.
@@ -180,6 +185,18 @@
 /// answered or a dial failed.
 void noteReachability(step_context &Step, target_view &Target, bool Answered);
 
+// Work under way at primaries (primary_use.cpp).
+/// \brief Acknowledges a closed record once this host has stopped using the
+/// primary.
+void acknowledgeClosed(step_context &Step, group_state &Group);
+/// \brief Whether a connection's next statement may be sent, as regards the
+/// right to use its target as primary. Always true for other connections.
+[[nodiscard]] bool mayContinueAtPrimary(const host &State,
+                                        const target_connection &Connection,
+                                        instant Now);
+/// \brief Ends what goes on at primaries that this host may not use any more.
+void superviseWorkAtPrimaries(step_context &Step);
+
 // Evidence that a primary is lost (witnesses.cpp).
 /// \brief Notes that a target's owner or the target itself did not answer, if
 /// the target is its group's primary.
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -351,6 +351,7 @@
     dequeue(State.Waiting, *Request.Rank);
     Request.Rank.reset();
     beginAttempt(Step, State.Connections.at(Chosen->Connection), Request,
+                 Candidates[Chosen->Target].OnReplica,
                  Candidates[Chosen->Target].RequiredPosition);
     return;
   }
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -30,8 +30,6 @@
 constexpr unsigned MinDialFailures = 2;
 /// A single dial without an answer for this long suffices as well.
 constexpr duration SilentDialTimeout = std::chrono::milliseconds(450);
-/// Time that statements may still run at a primary whose record was closed.
-constexpr duration ClosingGracePeriod = std::chrono::milliseconds(250);
 
 duration storeRetryDelay(unsigned Failures) {
   constexpr unsigned MaxDoublings = 4;
@@ -44,37 +42,6 @@
   return std::string(HostsPrefix) + State.Identity.Name;
 }
 
-/// Whether statements or transactions still use the group's primary.
-bool usesPrimary(const host &State, const group_state &Group) {
-  for (const auto &[Number, Connection] : State.Connections) {
-    const bool Uses = Connection.Phase == connection_phase::Running ||
-                      Connection.Phase == connection_phase::Preparing ||
-                      Connection.Phase == connection_phase::Resting;
-    if (Uses && Connection.Target == Group.Record->Primary &&
-        (Connection.Request != 0 || Connection.Session != 0))
-      return true;
-  }
-  return false;
-}
-
-/// Acknowledges a closed record once this host has stopped using the primary.
-void acknowledgeClosed(step_context &Step, group_state &Group) {
-  if (!Group.Record || Group.Record->Open ||
-      Group.AcknowledgedClosure >= Group.Record->Generation)
-    return;
-  if (usesPrimary(Step.State, Group)) {
-    if (Step.Now < Group.ClosedAt + ClosingGracePeriod)
-      return;
-    failConnections(Step, Group.Record->Primary, true);
-  }
-  // Another host may still rely on this host's vote, also on one that the
-  // process gave before it restarted.
-  if (Step.Now <
-      std::max(Group.OwnVoteUntil, Step.State.StartedAt + VoteLifetime))
-    return;
-  Group.AcknowledgedClosure = Group.Record->Generation;
-}
-
 host_record ownRecord(const host &State) {
   host_record Record;
   Record.PeerEndpoint = State.Identity.PeerEndpoint;
@@ -169,14 +136,18 @@
   Step.State.Coordinator.IsHeld = false;
 }
 
+bool hasValidLease(const host &State, instant Now) {
+  return State.Lease.Id != 0 && State.Lease.GroupsRead &&
+         Now < State.Lease.ValidUntil;
+}
+
 bool mayUsePrimary(const host &State, const std::string &Group, instant Now) {
   const auto Found = State.Groups.find(Group);
   if (Found == State.Groups.end() || !Found->second.Record ||
       !Found->second.Record->Open)
     return false;
-  const bool HasLease = State.Lease.Id != 0 && State.Lease.GroupsRead &&
-                        Now < State.Lease.ValidUntil;
-  return HasLease || hasElectorQuorum(State, Found->second, Now);
+  return hasValidLease(State, Now) ||
+         hasElectorQuorum(State, Found->second, Now);
 }
 
 void superviseLease(step_context &Step) {
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -294,8 +294,7 @@
   Group.Promotion.Statuses.clear();
   Step.Out.push_back(effects::order_promotion{
       Name, Group.Promotion.Candidate, Step.State.Identity.Name,
-      Step.State.Coordinator.FencingToken, Step.Now,
-      Step.Now + MaxOrderWait});
+      Step.State.Coordinator.FencingToken, Step.Now, Step.Now + MaxOrderWait});
 }
 
 /// Probes the targets again, and returns to the old primary when no replica
--- a/src/proxy/requests.cpp
+++ b/src/proxy/requests.cpp
@@ -195,7 +195,13 @@
   const connection_number TransactionConnection =
       Session.Transaction ? Session.Transaction->Connection : 0;
   if (TransactionConnection != 0) {
-    if (auto *Connection = findIn(State.Connections, TransactionConnection))
+    auto *Connection = findIn(State.Connections, TransactionConnection);
+    if (Connection != nullptr &&
+        !mayContinueAtPrimary(State, *Connection, Step.Now))
+      failInTransaction(Step, Stored, answer_code::Aborted,
+                        "this host may no longer use the transaction's "
+                        "primary");
+    else if (Connection != nullptr)
       continueTransaction(Step, *Connection, Stored);
     else
       failInTransaction(Step, Stored, answer_code::Aborted,
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -130,6 +130,11 @@
   /// A value or template may be missing, so the connection is not reused.
   bool SetupIncomplete = false;
   bool BeginsTransaction = false; ///< The setup ends with BEGIN.
+  /// Generation of the record under which the target is used as primary, or 0.
+  std::uint64_t PrimaryGeneration = 0;
+  std::uint64_t PrimaryLease = 0; ///< This host's lease as that use began.
+  /// When this host noticed that it may not go on with that use.
+  std::optional<instant> RightEndedAt;
   instant SentAt{};
   instant IdleSince{};
   instant DialledAt{};
