Count positions of a primary only from statements sent to it as primary

What callers would have seen: reads that lack commits older than their staleness bound, shortly after a promotion.

Cause: the record at the time of the answer decided whether a position is the primary's. A read that a replica had run before its promotion, answered after it, counted as a position that covers all commits up to the sending of the read.

Change: a position counts only if the statement was sent under the right to use the target as primary and under the record's present generation.

Ruled out: comparing the sample's time with the time of the record, which a host learns late.

--- a/src/proxy/connections.cpp
+++ b/src/proxy/connections.cpp
@@ -59,16 +59,6 @@
   Connection.IdleSince = Step.Now;
 }
 
-/// Notes under which record and lease a connection is used as a primary's.
-void beginUseOfPrimary(step_context &Step, target_connection &Connection) {
-  const group_state *Group = findIn(Step.State.Groups, Connection.Group);
-  if (Group == nullptr || !Group->Record)
-    return;
-  Connection.PrimaryGeneration = Group->Record->Generation;
-  Connection.PrimaryLease = Step.State.Lease.Id;
-  Connection.RightEndedAt.reset();
-}
-
 void sendStatement(step_context &Step, target_connection &Connection,
                    target_request &Request) {
   outgoing_statement Outgoing;
@@ -162,8 +152,11 @@
     return;
   Target->KnownPosition = std::max(Target->KnownPosition, Position);
   group_state *Group = findIn(Step.State.Groups, Connection.Group);
+  // Others may have been primary since the statement was sent, if it was sent
+  // to a replica or under another generation.
   if (Group != nullptr && Group->Record &&
       Group->Record->Primary == Connection.Target &&
+      Group->Record->Generation == Connection.PrimaryGeneration &&
       mayUsePrimary(Step.State, Connection.Group, Step.Now))
     addSample(Group->Samples, Position, Connection.SentAt);
 }
@@ -395,6 +388,15 @@
             buildSetup(Connection, Session, Request));
 }
 
+void beginUseOfPrimary(step_context &Step, target_connection &Connection) {
+  const group_state *Group = findIn(Step.State.Groups, Connection.Group);
+  if (Group == nullptr || !Group->Record)
+    return;
+  Connection.PrimaryGeneration = Group->Record->Generation;
+  Connection.PrimaryLease = Step.State.Lease.Id;
+  Connection.RightEndedAt.reset();
+}
+
 void rollBackOnTarget(step_context &Step, target_connection &Connection) {
   if (Connection.Owner) {
     closeConnection(Step, Connection.Number);
--- a/src/proxy/owners.cpp
+++ b/src/proxy/owners.cpp
@@ -122,6 +122,8 @@
   Connection.Account = Request.Account;
   Connection.Owner = Owner;
   Connection.Request = Request.Number;
+  if (!OnReplica)
+    beginUseOfPrimary(Step, Connection);
   Request.Connection = Connection.Number;
   Request.RequiredPosition = RequiredPosition;
   Request.Attempts += 1;
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -125,6 +125,9 @@
 void beginAttempt(step_context &Step, target_connection &Connection,
                   target_request &Request, bool OnReplica,
                   std::optional<log_position> RequiredPosition);
+/// \brief Notes under which record and lease a connection is used as a
+/// primary's.
+void beginUseOfPrimary(step_context &Step, target_connection &Connection);
 void continueTransaction(step_context &Step, target_connection &Connection,
                          target_request &Request);
 void rollBackOnTarget(step_context &Step, target_connection &Connection);
--- a/tests/proxy/position_tests.cpp
+++ b/tests/proxy/position_tests.cpp
@@ -194,3 +194,54 @@
   CHECK(chooseOwner(*Driver.Host, Driver.Host->Targets.at("a"), Driver.Now)
             .Kind != owner_kind::Peer);
 }
+
+TEST_CASE("A read on a replica proves no position of a primary") {
+  // Guards against stale reads after a promotion: a read that a replica had
+  // run before it was promoted was answered late, and its position was taken
+  // for one that covers the old primary's commits.
+  host_driver Driver;
+  Driver.becomeReady();
+  assignOwners(Driver);
+  Driver.send(events::forward_requested{"#1", 5, replicaRead("b")});
+  sharePosition(Driver, {1, 40}, 100ms);
+  Driver.send(events::forward_requested{"#1", 6, replicaRead("b")});
+  Driver.acceptDials();
+  const auto Sent = Driver.takeEffects<effects::send_target>();
+  REQUIRE(Sent.size() == 1);
+  Driver.writeGroupRecord("a", 2, false);
+  Driver.writeGroupRecord("b", 3, true);
+  Driver.send(events::target_answered{Sent.front().Connection,
+                                      host_driver::completedAnswer({1, 40})});
+  CHECK(Driver.Host->Groups.at(Group).Samples.Samples.empty());
+}
+
+TEST_CASE("A statement at a primary that was used anew proves no position") {
+  // The primary may have followed another one between the two generations.
+  host_driver Driver;
+  Driver.becomeReady();
+  const session_number Session = Driver.openSession("live");
+  Driver.sendStatement(Session, "r1", statement_kind::Read, "READ 1");
+  Driver.acceptDials();
+  const auto Sent = Driver.takeEffects<effects::send_target>();
+  REQUIRE(Sent.size() == 1);
+  Driver.Host->Groups.at(Group).Samples.Samples.clear();
+  Driver.writeGroupRecord("a", 5, true);
+  Driver.send(events::target_answered{Sent.front().Connection,
+                                      host_driver::completedAnswer({1, 4})});
+  CHECK(Driver.Host->Groups.at(Group).Samples.Samples.empty());
+}
+
+TEST_CASE("A statement at the primary proves its position") {
+  host_driver Driver;
+  Driver.becomeReady();
+  const session_number Session = Driver.openSession("live");
+  Driver.sendStatement(Session, "r1", statement_kind::Read, "READ 1");
+  Driver.acceptDials();
+  const auto Sent = Driver.takeEffects<effects::send_target>();
+  REQUIRE(Sent.size() == 1);
+  Driver.send(events::target_answered{Sent.front().Connection,
+                                      host_driver::completedAnswer({1, 4})});
+  const auto &Samples = Driver.Host->Groups.at(Group).Samples.Samples;
+  REQUIRE_FALSE(Samples.empty());
+  CHECK(Samples.back().Position == log_position{1, 4});
+}
