Send orders to promote side by side

Cause: all orders went over one connection, each after the answer to the one before.

Change: orders take up to 16 connections of a pool; a call waits only when all are busy.

Ruled out: pipelining, as a lost answer ends the connection with all orders on it.

Tests: the new case of http_link_tests fails with a pool of one connection (the second call is not sent within 100 ms), and passes with two; 40 cases of test_platform pass.

--- a/src/serve/store_gateway.cpp
+++ b/src/serve/store_gateway.cpp
@@ -1,6 +1,7 @@
 /// Choice between direct and relayed calls.
 #include "store_gateway.hpp"
 
+#include <platform/http_pool.hpp>
 #include <platform/store_watch.hpp>
 
 #include <boost/asio/post.hpp>
@@ -19,6 +20,9 @@
 /// meanwhile.
 constexpr duration PeerWatchAnswerTimeout =
     platform::PeerWatchTimeout + std::chrono::milliseconds(500);
+/// Orders of different groups do not wait for one another, as the platform may
+/// be slow while many primaries are replaced at the same time.
+constexpr std::size_t MaxPromotionLinks = 16;
 constexpr unsigned StatusNone = 0;
 constexpr unsigned StatusTooMany = 429;
 constexpr unsigned StatusUnavailable = 503;
@@ -74,11 +78,11 @@
   Channels.Operator = makeStoreChannel();
   Channels.Targets = makeStoreChannel();
   Channels.Records = makeStoreChannel();
-  auto PromotionLink =
-      std::make_shared<platform::http_link>(Io, PromotionEndpoint);
-  Channels.Promotion = [PromotionLink](platform::http_call Call,
-                                       platform::http_callback Done) {
-    PromotionLink->call(std::move(Call), std::move(Done));
+  auto Promotions = std::make_shared<platform::http_pool>(Io, PromotionEndpoint,
+                                                          MaxPromotionLinks);
+  Channels.Promotion = [Promotions](platform::http_call Call,
+                                    platform::http_callback Done) {
+    Promotions->call(std::move(Call), std::move(Done));
   };
   return Channels;
 }
--- a/tests/platform/http_link_tests.cpp
+++ b/tests/platform/http_link_tests.cpp
@@ -1,5 +1,5 @@
 /// Tests of the HTTP connection to the platform, over loopback.
-#include <platform/http_link.hpp>
+#include <platform/http_pool.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -8,6 +8,8 @@
 #include <catch2/catch.hpp>
 
 #include <array>
+#include <functional>
+#include <vector>
 
 namespace {
 
@@ -151,3 +153,40 @@
   CHECK(Answered.Status == 0);
   CHECK_FALSE(Answered.Sent);
 }
+
+TEST_CASE("Calls of a pool do not wait for one another") {
+  // Guards against primaries that are replaced one after the other while the
+  // platform is slow: each order waited for the answer to the one before.
+  asio::io_context Io;
+  tcp::acceptor Acceptor(Io, {asio::ip::address_v4::loopback(), 0});
+  std::vector<tcp::socket> Accepted;
+  std::function<void()> Accept = [&] {
+    Acceptor.async_accept(
+        [&](boost::system::error_code Error, tcp::socket Peer) {
+          if (Error)
+            return;
+          Accepted.push_back(std::move(Peer));
+          Accept();
+        });
+  };
+  Accept();
+  http_pool Pool(Io, {"127.0.0.1", Acceptor.local_endpoint().port()}, 2);
+  std::size_t Sent = 0;
+  std::size_t Ended = 0;
+  for (int Index = 0; Index < 3; ++Index) {
+    http_call Call = callWithTimeout(200ms);
+    Call.MaySend = [&] {
+      Sent += 1;
+      return true;
+    };
+    Pool.call(std::move(Call), [&](const http_answer &) { Ended += 1; });
+  }
+  Io.run_for(100ms);
+  CHECK(Accepted.size() == 2);
+  CHECK(Sent == 2);
+  CHECK(Ended == 0);
+  Io.restart();
+  Io.run_for(600ms);
+  CHECK(Sent == 3);
+  CHECK(Ended == 3);
+}
