Make changes of groups' records only while their host is the coordinator

What callers would have seen: a primary that is well is replaced, after a former coordinator's change closed its record.

Cause: the role was checked when the change was decided; the change expected only the record's revision, which holds as long as nobody else has changed it.

Change: the change expects the coordinator's key at the revision of this host's token as well, so that the store refuses it from anyone else, also when it is made late.

Ruled out: a check where the change leaves the host, which a late change passes.

Tests: the new case of handover_tests failed before (the key is not among the expected); now 150 cases of test_proxy pass, the simulated fleet with late changes among them.

No call is added.

--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -71,6 +71,10 @@
   effects::change_records Change;
   Change.Call = Group.Promotion.ChangeCall;
   Change.Expected.emplace_back(groupKey(Name), ExpectedRevision);
+  // The change may wait in a queue, or in a process that is suspended, until
+  // another host is the coordinator.
+  Change.Expected.emplace_back(std::string(CoordinatorKey),
+                               Step.State.Coordinator.FencingToken);
   Group.Promotion.ChangeValue = formatRecord(Record);
   Change.Writes.push_back({groupKey(Name), Group.Promotion.ChangeValue, false});
   Step.Out.push_back(std::move(Change));
--- a/tests/proxy/handover_tests.cpp
+++ b/tests/proxy/handover_tests.cpp
@@ -129,3 +129,23 @@
   goOn(Driver, 400ms, BeforePromotion);
   CHECK(Driver.takeEffects<effects::order_promotion>().size() == 1);
 }
+
+TEST_CASE("A change of a record expects that its host is the coordinator") {
+  // Guards against a change that a former coordinator had queued: it closed
+  // the record that its successor had opened, and the primary was replaced
+  // without need.
+  host_driver Driver;
+  becomeCoordinator(Driver);
+  const std::uint64_t Token = Driver.Host->Coordinator.FencingToken;
+  reportUnreachable(Driver, "host-2", "a");
+  Driver.advanceTime(20ms);
+  const auto Changes = Driver.takeEffects<effects::change_records>();
+  const auto Closing =
+      std::find_if(Changes.begin(), Changes.end(), [](const auto &Change) {
+        return !Change.Writes.empty() &&
+               Change.Writes.front().Key.starts_with(GroupsPrefix);
+      });
+  REQUIRE(Closing != Changes.end());
+  CHECK(std::count(Closing->Expected.begin(), Closing->Expected.end(),
+                   std::pair(std::string(CoordinatorKey), Token)) == 1);
+}
