Count the wait for a revoked lease from when its host's record is gone

What callers would have seen: writes acknowledged by a host whose lease was revoked, while another primary is promoted.

Cause: after the decision to revoke a lease the coordinator waited for its length. The call may wait in a connection or be made late by the store, and the host may have renewed the lease right before that.

Change: the coordinator remembers which leases it asked the store to end, and gives no order, for any group, for a lease's length from when it sees the record of such a host removed. An order that was decided before is checked again when it is sent.

Ruled out: waiting after each removal of a host (a data centre that is cut off would be replaced 1.6 s later); deleting the record in place of the lease (the host would renew it and go on).

--- a/src/proxy/coordinator.cpp
+++ b/src/proxy/coordinator.cpp
@@ -38,7 +38,7 @@
   coordinator_state &Role = Step.State.Coordinator;
   Role.IsHeld = true;
   Role.FencingToken = Role.Revision;
-  Role.OrdersFrom = Step.Now + MaxOrderDelay;
+  Role.OrdersFrom = std::max(Role.OrdersFrom, Step.Now + MaxOrderDelay);
   logLine(Step, "duty.held", {{"token", std::to_string(Role.FencingToken)}});
 }
 
@@ -74,6 +74,17 @@
          Now + OrderLeaseMargin < State.Lease.ValidUntil;
 }
 
+void hostLeaseEnded(step_context &Step, const std::string &Host,
+                    std::uint64_t Lease) {
+  coordinator_state &Role = Step.State.Coordinator;
+  const auto Revoked = Role.RevokedLeases.find(Host);
+  if (Revoked == Role.RevokedLeases.end() || Revoked->second != Lease)
+    return;
+  Role.RevokedLeases.erase(Revoked);
+  Role.OrdersFrom =
+      std::max(Role.OrdersFrom, Step.Now + Step.State.Lease.TimeToLive);
+}
+
 void coordinatorChanged(step_context &Step, const store_record &Record) {
   host &State = Step.State;
   coordinator_state &Role = State.Coordinator;
--- a/src/proxy/host_list.cpp
+++ b/src/proxy/host_list.cpp
@@ -160,6 +160,7 @@
   const auto Removed = State.Hosts.find(Name);
   if (Removed == State.Hosts.end())
     return;
+  hostLeaseEnded(Step, Name, Removed->second.Lease);
   if (!Removed->second.Record.Leaving)
     State.ExpiredHosts[Name] = {Step.Now, Removed->second.Record.DataCentre};
   State.Hosts.erase(Removed);
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -266,10 +266,10 @@
     // The host may register again under another lease.
     Since = Step.Now;
     Step.Out.push_back(effects::revoke_lease{Peer.Lease});
-    Promotion.OrderNotBefore = Step.Now + Step.State.Lease.TimeToLive;
+    Step.State.Coordinator.RevokedLeases[Host] = Peer.Lease;
     logLine(Step, "promotion.holdout", {{"group", Name}, {"host", Host}});
   }
-  if (!AllStopped || Step.Now < Promotion.OrderNotBefore)
+  if (!AllStopped || Step.Now < Step.State.Coordinator.OrdersFrom)
     return;
   if (!haveElectorsAcknowledged(Step.State, Name) &&
       !haveExpiredHostsStopped(Step.State, Step.Now))
@@ -509,6 +509,7 @@
               instant Now) {
   const auto Group = State.Groups.find(Order.Group);
   return Now < Order.SendBefore && isCoordinator(State, Now) &&
+         Now >= State.Coordinator.OrdersFrom &&
          State.Coordinator.FencingToken == Order.FencingToken &&
          Group != State.Groups.end() &&
          Group->second.Promotion.Stage == promotion_stage::Ordered &&
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -201,8 +201,7 @@
   bool HostsRead = false; ///< Hosts were read since the record was closed.
   /// Start of the wait for each host that has not acknowledged.
   std::map<std::string, instant> AwaitedSince;
-  /// Orders wait until then: hosts may still rely on leases that this host
-  /// revoked, or the platform rejected an order.
+  /// Orders wait until then, after the platform rejected one.
   instant OrderNotBefore{};
   std::map<std::string, target_status> Statuses;
   /// Replicas that do not run, as the platform told.
@@ -298,7 +297,11 @@
   std::uint64_t HolderLease = 0; ///< Lease that the role's key is bound to.
   bool IsHeld = false;
   std::uint64_t FencingToken = 0;
-  instant OrdersFrom{}; ///< Orders of the previous coordinator arrive by then.
+  /// Orders of the previous coordinator have arrived by then, and leases that
+  /// this host revoked have ended on their hosts' clocks.
+  instant OrdersFrom{};
+  /// Leases that this host asked the store to end, by the name of their host.
+  std::map<std::string, std::uint64_t> RevokedLeases;
   call_number ClaimCall = 0;
   std::uint64_t ClaimLease = 0; ///< Lease of the pending claim.
   call_number ReturnCall = 0;   ///< Pending removal of the own key.
--- a/tests/proxy/handover_tests.cpp
+++ b/tests/proxy/handover_tests.cpp
@@ -149,3 +149,74 @@
   CHECK(std::count(Closing->Expected.begin(), Closing->Expected.end(),
                    std::pair(std::string(CoordinatorKey), Token)) == 1);
 }
+
+namespace {
+
+/// A coordinator beside host-2, which is listed and does not acknowledge.
+struct silent_host {
+  host_driver Driver;
+  bool IsListed = true;
+
+  silent_host() {
+    becomeCoordinator(Driver);
+    reportUnreachable(Driver, "host-2", "a");
+  }
+
+  void answerHostsReads() {
+    host_record Own;
+    Own.PeerEndpoint = {"10.0.0.1", 7560};
+    Own.AcknowledgedClosures[Group] = 100;
+    host_record Other;
+    Other.PeerEndpoint = {"10.0.0.2", 7560};
+    for (const auto &Read : Driver.takeEffects<effects::read_records>()) {
+      events::records_read Answer{Read.Call, Read.Prefix, {}, true, 0};
+      Answer.Records.push_back(
+          {"hosts/host-1", formatRecord(Own), ++Driver.Revision, 7});
+      if (IsListed)
+        Answer.Records.push_back(
+            {"hosts/host-2", formatRecord(Other), ++Driver.Revision, 8});
+      Answer.Revision = ++Driver.Revision;
+      Driver.send(Answer);
+    }
+  }
+
+  /// \returns Whether a promotion was ordered.
+  bool goOn(duration Span) {
+    const instant End = Driver.Now + Span;
+    while (Driver.Now < End) {
+      Driver.grantLease(7);
+      Driver.advanceTime(20ms);
+      storeGroupRecords(Driver);
+      answerHostsReads();
+      answerProbes(Driver, BeforePromotion);
+    }
+    return !Driver.takeEffects<effects::order_promotion>().empty();
+  }
+
+  void removeHost() {
+    IsListed = false;
+    Driver.removeRecord("hosts/host-2");
+  }
+};
+
+} // namespace
+
+TEST_CASE("An order waits for the length of a lease that was revoked late") {
+  // Guards against a host that still uses the primary as another is promoted:
+  // the wait was counted from the decision to revoke its lease, and the store
+  // ended the lease seconds later.
+  silent_host Silent;
+  CHECK_FALSE(Silent.goOn(2700ms));
+  REQUIRE_FALSE(Silent.Driver.takeEffects<effects::revoke_lease>().empty());
+  CHECK_FALSE(Silent.goOn(2200ms));
+  Silent.removeHost();
+  CHECK_FALSE(Silent.goOn(1900ms));
+  CHECK(Silent.goOn(400ms));
+}
+
+TEST_CASE("An order does not wait after a lease that ended by itself") {
+  silent_host Silent;
+  CHECK_FALSE(Silent.goOn(1000ms));
+  Silent.removeHost();
+  CHECK(Silent.goOn(400ms));
+}
