Wait for leases that the previous coordinator may have revoked

Cause: which leases were revoked, and when, is known to the coordinator that did it. Its successor counted a host whose record is gone as one that has stopped.

Change: a coordinator that finds a group's record closed gives no order for that group for a lease's length after the last removal of a host. The previous coordinator does not count, since the role's key ended with its lease.

Ruled out: the same wait for records that are open, which no coordinator has closed, so that no lease was revoked for them.

Tests: the new case of handover_tests failed before (an order 0.8 s after the removal); 153 cases of test_proxy pass.

--- a/src/proxy/coordinator.cpp
+++ b/src/proxy/coordinator.cpp
@@ -6,6 +6,7 @@
 #include "parts.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace bronzespar::proxy {
 
@@ -103,7 +104,7 @@
   coordinator_state &Role = Step.State.Coordinator;
   if (Revision <= Role.Revision)
     return;
-  Role.Holder.clear();
+  Role.PreviousHolder = std::exchange(Role.Holder, {});
   Role.Revision = Revision;
   if (Role.IsHeld)
     loseRole(Step);
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -384,6 +384,16 @@
   probeTarget(Step, Name, Promotion, Promotion.Candidate);
 }
 
+/// Until when hosts may rely on leases that the previous coordinator revoked.
+/// Its own ended by itself, and with it the role.
+instant revokedLeasesEnd(const host &State) {
+  instant End{};
+  for (const auto &[Name, Expired] : State.ExpiredHosts)
+    if (Name != State.Coordinator.PreviousHolder)
+      End = std::max(End, Expired.ExpiredAt + State.Lease.TimeToLive);
+  return End;
+}
+
 /// Starts a change of the record if the group needs one.
 void considerGroup(step_context &Step, const std::string &Name,
                    group_state &Group) {
@@ -404,6 +414,7 @@
   Group.Promotion = {};
   Group.Promotion.ReplacesElectors = Group.Record->PrimaryStays;
   Group.Promotion.StartedAt = Step.Now;
+  Group.Promotion.OrderNotBefore = revokedLeasesEnd(Step.State);
   closeRecord(Step, Name, Group);
 }
 
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -201,7 +201,8 @@
   bool HostsRead = false; ///< Hosts were read since the record was closed.
   /// Start of the wait for each host that has not acknowledged.
   std::map<std::string, instant> AwaitedSince;
-  /// Orders wait until then, after the platform rejected one.
+  /// Orders wait until then: the platform rejected one, or hosts may rely on
+  /// leases that the previous coordinator revoked.
   instant OrderNotBefore{};
   std::map<std::string, target_status> Statuses;
   /// Replicas that do not run, as the platform told.
@@ -292,7 +293,8 @@
 /// Invariant: IsHeld only while Holder is this host, HolderLease its lease, and
 /// FencingToken is Revision.
 struct coordinator_state {
-  std::string Holder; ///< Host that is coordinator, or empty.
+  std::string Holder;         ///< Host that is coordinator, or empty.
+  std::string PreviousHolder; ///< The last one whose key was removed.
   std::uint64_t Revision = 0;
   std::uint64_t HolderLease = 0; ///< Lease that the role's key is bound to.
   bool IsHeld = false;
--- a/tests/proxy/handover_tests.cpp
+++ b/tests/proxy/handover_tests.cpp
@@ -220,3 +220,30 @@
   Silent.removeHost();
   CHECK(Silent.goOn(400ms));
 }
+
+TEST_CASE("A coordinator that finds a closed record waits for leases that the "
+          "previous one may have revoked") {
+  host_driver Driver;
+  Driver.becomeReady();
+  host_record Other;
+  Other.PeerEndpoint = {"10.0.0.2", 7560};
+  Driver.send(events::record_changed{
+      {"hosts/host-2", formatRecord(Other), ++Driver.Revision, 8}});
+  Driver.writeGroupRecord("a", 2, false);
+  Driver.removeRecord("hosts/host-2");
+  Driver.removeRecord(std::string(CoordinatorKey));
+  const instant Removed = Driver.Now;
+  bool Ordered = false;
+  while (!Ordered && Driver.Now < Removed + 4s) {
+    Driver.grantLease(7);
+    Driver.advanceTime(20ms);
+    for (const auto &Change : Driver.takeEffects<effects::change_records>())
+      Driver.send(events::change_ended{Change.Call, change_outcome::Done,
+                                       ++Driver.Revision});
+    acknowledgeClosure(Driver, 100);
+    answerProbes(Driver, BeforePromotion);
+    Ordered = !Driver.takeEffects<effects::order_promotion>().empty();
+  }
+  REQUIRE(Ordered);
+  CHECK(Driver.Now >= Removed + 2000ms);
+}
