Match the platform's answers to the orders that they are for

What callers would have seen: two replicas promoted one after the other, with writes that were acknowledged in between gone.

Cause: an answer named its group only, so that a late refusal of an earlier order ended the wait for the present one, and a third order followed while that was under way.

Change: orders have numbers. An answer counts for its own order, and an order that is no longer the group's present one is not sent.

Ruled out: waiting for each answer before the next order, as a lost answer would block the group.

--- a/include/bronzespar/proxy/interface.hpp
+++ b/include/bronzespar/proxy/interface.hpp
@@ -214,6 +214,7 @@
 /// \brief The platform's answer to order_promotion.
 struct promotion_answered {
   std::string Group;
+  call_number Call = 0; ///< Of the order.
   order_outcome Outcome = order_outcome::Rejected;
 };
 
@@ -345,6 +346,7 @@
   std::uint64_t Lease = 0;
 };
 struct order_promotion {
+  call_number Call = 0;
   std::string Group;
   std::string Target;
   std::string Holder;
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -296,9 +296,11 @@
   Group.Promotion.NextTryAt = Step.Now + MinPromotionTime;
   Group.Promotion.ProbeCall = nextNumber(Step.State);
   Group.Promotion.Statuses.clear();
+  Group.Promotion.OrderCall = nextNumber(Step.State);
   Step.Out.push_back(effects::order_promotion{
-      Name, Group.Promotion.Candidate, Step.State.Identity.Name,
-      Step.State.Coordinator.FencingToken, Step.Now, Step.Now + MaxOrderWait});
+      Group.Promotion.OrderCall, Name, Group.Promotion.Candidate,
+      Step.State.Identity.Name, Step.State.Coordinator.FencingToken, Step.Now,
+      Step.Now + MaxOrderWait});
 }
 
 /// Probes the targets again, and returns to the old primary when no replica
@@ -524,6 +526,7 @@
          State.Coordinator.FencingToken == Order.FencingToken &&
          Group != State.Groups.end() &&
          Group->second.Promotion.Stage == promotion_stage::Ordered &&
+         Group->second.Promotion.OrderCall == Order.Call &&
          Group->second.Revision == Group->second.Promotion.ClosedRevision;
 }
 
@@ -554,7 +557,8 @@
 void promotionAnswered(step_context &Step,
                        const events::promotion_answered &Event) {
   group_state *Group = findIn(Step.State.Groups, Event.Group);
-  if (Group == nullptr || Group->Promotion.Stage != promotion_stage::Ordered)
+  if (Group == nullptr || Group->Promotion.Stage != promotion_stage::Ordered ||
+      Group->Promotion.OrderCall != Event.Call)
     return;
   logLine(Step, "promotion.answered",
           {{"group", Event.Group},
--- a/tests/proxy/candidate_tests.cpp
+++ b/tests/proxy/candidate_tests.cpp
@@ -199,7 +199,8 @@
   reportUnreachable(Driver, "host-2", "a");
   const statuses Statuses = {{"b", replicaAt(90)}, {"c", replicaAt(40)}};
   REQUIRE(promote(Driver, 1s, Statuses) == "b");
-  Driver.send(events::promotion_answered{Group, order_outcome::Rejected});
+  Driver.send(events::promotion_answered{Group, lastOrder(Driver),
+                                         order_outcome::Rejected});
   CHECK(promote(Driver, 1s, Statuses) == "b");
 }
 
@@ -209,7 +210,8 @@
   reportUnreachable(Driver, "host-2", "a");
   const statuses Statuses = {{"b", replicaAt(90)}, {"c", replicaAt(40)}};
   REQUIRE(promote(Driver, 1s, Statuses) == "b");
-  Driver.send(events::promotion_answered{Group, order_outcome::NotRunning});
+  Driver.send(events::promotion_answered{Group, lastOrder(Driver),
+                                         order_outcome::NotRunning});
   CHECK(promote(Driver, 1s, Statuses) == "c");
 }
 
--- a/tests/proxy/coordinator_driver.hpp
+++ b/tests/proxy/coordinator_driver.hpp
@@ -3,6 +3,8 @@
 
 #include "host_driver.hpp"
 
+#include <proxy/parts.hpp>
+
 namespace session_test {
 
 /// Makes the host the coordinator and lets it give orders.
@@ -58,6 +60,11 @@
         ++Driver.Revision});
 }
 
+/// Number of the order to promote that the coordinator gave last.
+inline call_number lastOrder(const host_driver &Driver) {
+  return Driver.Host->Groups.at(Group).Promotion.OrderCall;
+}
+
 /// Answers the probes of the targets that Statuses names.
 inline void answerProbes(host_driver &Driver,
                          const std::map<std::string, target_status> &Statuses) {
--- a/tests/proxy/handover_tests.cpp
+++ b/tests/proxy/handover_tests.cpp
@@ -125,7 +125,8 @@
 TEST_CASE("An order that was not sent is decided anew") {
   host_driver Driver;
   (void)orderPromotion(Driver);
-  Driver.send(events::promotion_answered{Group, order_outcome::NotSent});
+  Driver.send(events::promotion_answered{Group, lastOrder(Driver),
+                                         order_outcome::NotSent});
   goOn(Driver, 400ms, BeforePromotion);
   CHECK(Driver.takeEffects<effects::order_promotion>().size() == 1);
 }
@@ -150,6 +151,21 @@
                    std::pair(std::string(CoordinatorKey), Token)) == 1);
 }
 
+TEST_CASE("An answer to an earlier order does not end the present one") {
+  // Guards against two orders under way for a group: the platform's late
+  // refusal of the first one was taken for one of the second.
+  host_driver Driver;
+  const auto First = orderPromotion(Driver);
+  Driver.send(
+      events::promotion_answered{Group, First.Call, order_outcome::NotSent});
+  goOn(Driver, 400ms, BeforePromotion);
+  REQUIRE(Driver.takeEffects<effects::order_promotion>().size() == 1);
+  Driver.send(
+      events::promotion_answered{Group, First.Call, order_outcome::Rejected});
+  goOn(Driver, 400ms, BeforePromotion);
+  CHECK(Driver.takeEffects<effects::order_promotion>().empty());
+}
+
 namespace {
 
 /// A coordinator beside host-2, which is listed and does not acknowledge.
--- a/tests/proxy/simulated_fleet.cpp
+++ b/tests/proxy/simulated_fleet.cpp
@@ -231,8 +231,8 @@
     Promotions += 1;
     broadcast(events::targets_listed{entries()});
   });
-  answer(Name, Tick, [Group = Order.Group] {
-    return events::promotion_answered{Group, order_outcome::Accepted};
+  answer(Name, Tick, [Group = Order.Group, Call = Order.Call] {
+    return events::promotion_answered{Group, Call, order_outcome::Accepted};
   });
 }
 
