Refuse statements with line ends or NUL bytes, and end lines at CR LF only

Cause: nextLine ended a line at a line feed, and forwarded texts are passed as C strings.

Change: a line ends at CR LF. A statement with a CR, LF or NUL byte is answered MALFORMED and runs nowhere; an id, database or key with one closes the connection.

Ruled out: passing such bytes on, as a target that ends lines at a line feed would run the rest as a statement.

--- a/tests/platform/codec_tests.cpp
+++ b/tests/platform/codec_tests.cpp
@@ -256,3 +256,37 @@
     (void)parseOperatorDocument(Text, Fault);
   });
 }
+
+TEST_CASE("A line ends at CR LF only") {
+  // Guards against a statement inside another one's data: of a text with a
+  // line feed, the part behind it was run as a statement of its own.
+  line_reader Reader;
+  appendBytes(Reader, "QUERY a WRITE i1 x\nQUERY b WRITE i2 y\r\nTERM");
+  const auto Line = nextLine(Reader);
+  REQUIRE(Line);
+  CHECK(*Line == "QUERY a WRITE i1 x\nQUERY b WRITE i2 y");
+  CHECK_FALSE(nextLine(Reader));
+}
+
+TEST_CASE("A statement with a line end or NUL byte is not run") {
+  // A target, or the host that owns its connections, might take it for another
+  // text.
+  const std::string Odd = GENERATE(std::string("QUERY a WRITE i1 x\ny"),
+                                   std::string("QUERY a WRITE i1 x\ry"),
+                                   std::string("QUERY a WRITE i1 x\0y", 20),
+                                   std::string("QUERY a SET v x\0y", 17),
+                                   std::string("QUERY a PREPARE p READ\nq"));
+  const caller_message Message = parseCallerLine(Odd);
+  CHECK(Message.Kind == caller_message_kind::Query);
+  CHECK(Message.Id == "a");
+  CHECK(Message.Statement.Kind == proxy::statement_kind::Unknown);
+}
+
+TEST_CASE("An id, name or key with a line end or NUL byte is no message") {
+  CHECK(parseCallerLine("QUERY a\nb READ 1").Kind ==
+        caller_message_kind::Invalid);
+  CHECK(parseCallerLine(std::string("STARTUP db key\0x", 16)).Kind ==
+        caller_message_kind::Invalid);
+  CHECK(parseCallerLine("STARTUP db\n key").Kind ==
+        caller_message_kind::Invalid);
+}
