--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -192,7 +192,7 @@
   /// earlier round or of a witness, do not count.
   call_number ProbeCall = 0;
   std::set<std::string> PendingProbes; ///< Targets that have not answered it.
-  call_number OrderCall = 0; ///< Of the order to promote Candidate.
+  call_number OrderCall = 0;           ///< Of the order to promote Candidate.
   call_number ChangeCall = 0;
   std::string ChangeValue; ///< Value that the pending change writes.
   /// Store revision of the closed record as this promotion wrote it. A change
--- a/tests/platform/store_client_tests.cpp
+++ b/tests/platform/store_client_tests.cpp
@@ -25,11 +25,13 @@
   std::vector<proxy::order_outcome> Orders;
   bool MayOrder = true;
   store_client Client{
-      Io, channels(),
+      Io,
+      channels(),
       [this](proxy::event Event) {
         if (auto *Read = std::get_if<proxy::events::records_read>(&Event))
           Reads.push_back(std::move(*Read));
-        if (auto *Ended = std::get_if<proxy::events::promotion_answered>(&Event))
+        if (auto *Ended =
+                std::get_if<proxy::events::promotion_answered>(&Event))
           Orders.push_back(Ended->Outcome);
       },
       [](const std::string &, const std::string &) {},
@@ -125,7 +127,6 @@
     Fixture.Client.carryOut(proxy::effects::order_promotion{});
     Fixture.answer({0, {}, Sent});
   }
-  CHECK(Fixture.Orders ==
-        std::vector{proxy::order_outcome::NotSent,
-                    proxy::order_outcome::Accepted});
+  CHECK(Fixture.Orders == std::vector{proxy::order_outcome::NotSent,
+                                      proxy::order_outcome::Accepted});
 }
