Suspend hosts and delay orders in the simulated fleet

Cause: the simulation had hosts that restart and a store that loses answers; a right that is checked too early shows only when a host is suspended or an order waits.

Change: hosts are suspended for 0.2 to 4.2 s, what happens meanwhile reaches them afterwards; a third of the orders waits for up to 2 s before its host is asked whether it may be sent; leases that are revoked may end late; each host has a transaction at the primary for as long as it lets it go on.

A lease of any kind during the closing is caught only by its single case and the model.

--- a/tests/proxy/simulated_fleet.cpp
+++ b/tests/proxy/simulated_fleet.cpp
@@ -1,6 +1,7 @@
 /// Store, targets and platform of the simulated fleet.
 #include "simulated_fleet.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace session_test {
@@ -25,7 +26,9 @@
   Identity.Name = Name;
   Identity.DataCentre = "suva";
   Identity.PeerEndpoint = {"10.0.0.1", 7560};
-  Hosts[Name] = {makeHost(Identity), {}, ++LastProcess};
+  simulated_host &Started = Hosts[Name] = {};
+  Started.Host = makeHost(Identity);
+  Started.Process = ++LastProcess;
   proxy_settings Settings;
   Settings.Version = 1;
   Settings.Groups[Group] = {16};
@@ -38,6 +41,11 @@
 
 void simulated_fleet::restartHost(const std::string &Name) { startHost(Name); }
 
+void simulated_fleet::suspendHost(const std::string &Name, duration Span) {
+  instant &Until = Hosts.at(Name).SuspendedUntil;
+  Until = std::max(Until, Now + Span);
+}
+
 std::vector<target_entry> simulated_fleet::entries() const {
   std::vector<target_entry> Entries;
   for (const std::string Id : {"a", "b", "c"}) {
@@ -59,7 +67,8 @@
     runScheduled();
     endLeases();
     for (auto &[Name, Simulated] : Hosts)
-      send(Name, events::tick{});
+      if (Now >= Simulated.SuspendedUntil)
+        send(Name, events::tick{});
     checkRules();
   }
 }
@@ -74,6 +83,14 @@
 
 void simulated_fleet::send(const std::string &Name, event Event) {
   simulated_host &Simulated = Hosts.at(Name);
+  if (Now < Simulated.SuspendedUntil) {
+    Scheduled.emplace(Simulated.SuspendedUntil,
+                      [this, Name, Process = Simulated.Process, Event] {
+                        if (Hosts.at(Name).Process == Process)
+                          send(Name, Event);
+                      });
+    return;
+  }
   step(*Simulated.Host, std::move(Event), Now, Simulated.Effects);
   effect_list Effects;
   Effects.swap(Simulated.Effects);
@@ -113,23 +130,31 @@
   else if (const auto *Order = std::get_if<effects::order_promotion>(&Effect))
     carryOut(Name, *Order);
   else if (std::holds_alternative<effects::grant_lease>(Effect))
-    renew(Name, ++LastLease);
+    renew(Name, ++LastLease, true);
   else if (const auto *Renew = std::get_if<effects::renew_lease>(&Effect))
-    renew(Name, Renew->Lease);
+    renew(Name, Renew->Lease, false);
   else if (const auto *Revoke = std::get_if<effects::revoke_lease>(&Effect))
-    Leases.erase(Revoke->Lease);
+    revoke(Revoke->Lease);
   else if (const auto *Probe = std::get_if<effects::probe_target>(&Effect))
     answer(Name, Tick, [this, Target = Probe->Target, Call = Probe->Call] {
       return events::target_probed{Target, statusOf(Target), Call};
     });
 }
 
+void simulated_fleet::revoke(std::uint64_t Lease) {
+  const auto Delay =
+      draw() < Faults.Late
+          ? 1s + std::chrono::milliseconds(static_cast<int>(5000 * draw()))
+          : duration(0);
+  Scheduled.emplace(Now + Delay, [this, Lease] { Leases.erase(Lease); });
+}
+
 target_status simulated_fleet::statusOf(const std::string &Target) const {
   return {Target == Leader, {1, 90}, Term};
 }
 
-void simulated_fleet::renew(const std::string &Name, std::uint64_t Lease) {
-  const bool IsNew = Lease == LastLease && !Leases.contains(Lease);
+void simulated_fleet::renew(const std::string &Name, std::uint64_t Lease,
+                            bool IsNew) {
   if (draw() < Faults.Rejected) {
     answer(Name, Tick, [SentAt = Now] {
       return events::lease_answered{0, {}, SentAt, false};
@@ -220,24 +245,72 @@
 
 void simulated_fleet::carryOut(const std::string &Name,
                                const effects::order_promotion &Order) {
+  const bool Waits = draw() < SlowOrders;
+  const auto Wait =
+      std::chrono::milliseconds(Waits ? static_cast<int>(2000 * draw()) : 0);
+  Scheduled.emplace(Now + Wait, [this, Name, Process = Hosts.at(Name).Process,
+                                 Order] { sendOrder(Name, Process, Order); });
+}
+
+void simulated_fleet::sendOrder(const std::string &Name, unsigned Process,
+                                const effects::order_promotion &Order) {
+  const simulated_host &Simulated = Hosts.at(Name);
+  if (Simulated.Process != Process)
+    return;
+  if (Now < Simulated.SuspendedUntil) {
+    Scheduled.emplace(Simulated.SuspendedUntil, [this, Name, Process, Order] {
+      sendOrder(Name, Process, Order);
+    });
+    return;
+  }
+  const bool Sent = mayOrder(*Simulated.Host, Order, Now);
+  answer(Name, Tick, [Order, Sent] {
+    return events::promotion_answered{Order.Group, Order.Call,
+                                      Sent ? order_outcome::Accepted
+                                           : order_outcome::NotSent};
+  });
+  if (!Sent) {
+    UnsentOrders += 1;
+    return;
+  }
   if (Order.FencingToken < HighestToken)
     Violations.push_back(Name + " orders with an earlier token");
-  HighestToken = Order.FencingToken;
-  Scheduled.emplace(Now + PromotionTime, [this, Target = Order.Target] {
-    if (Target == Leader)
-      return;
-    Leader = Target;
-    Term += 1;
-    Promotions += 1;
-    broadcast(events::targets_listed{entries()});
-  });
-  answer(Name, Tick, [Group = Order.Group, Call = Order.Call] {
-    return events::promotion_answered{Group, Call, order_outcome::Accepted};
-  });
+  HighestToken = std::max(HighestToken, Order.FencingToken);
+  Scheduled.emplace(Now + PromotionTime,
+                    [this, Target = Order.Target] { promote(Target); });
+}
+
+void simulated_fleet::promote(const std::string &Target) {
+  if (Target == Leader)
+    return;
+  Leader = Target;
+  Term += 1;
+  Promotions += 1;
+  broadcast(events::targets_listed{entries()});
+}
+
+void simulated_fleet::continueTransaction(const std::string &Name,
+                                          simulated_host &Simulated) {
+  const auto Found = Simulated.Host->Groups.find(Group);
+  auto &Open = Simulated.Transaction;
+  if (Open && !mayContinueAtPrimary(*Simulated.Host, *Open, Now))
+    Open.reset();
+  if (Open && Open->Target != Leader)
+    Violations.push_back(Name + " goes on with a transaction at " +
+                         Open->Target + " while " + Leader + " is primary");
+  if (Open || !mayUsePrimary(*Simulated.Host, Group, Now))
+    return;
+  Open.emplace();
+  Open->Group = Group;
+  Open->Target = Found->second.Record->Primary;
+  Open->PrimaryGeneration = Found->second.Record->Generation;
+  Open->PrimaryLease = Simulated.Host->Lease.Id;
 }
 
 void simulated_fleet::checkRules() {
-  for (const auto &[Name, Simulated] : Hosts) {
+  for (auto &[Name, Simulated] : Hosts) {
+    if (Now >= Simulated.SuspendedUntil)
+      continueTransaction(Name, Simulated);
     const auto &Groups = Simulated.Host->Groups;
     const auto Found = Groups.find(Group);
     if (Found != Groups.end() && Found->second.Record &&
--- a/tests/proxy/simulated_fleet.hpp
+++ b/tests/proxy/simulated_fleet.hpp
@@ -1,5 +1,6 @@
 /// A fleet of hosts on virtual time, with a store that loses answers and makes
-/// changes late, and a group whose members are promoted.
+/// changes late, hosts that are suspended, orders that wait before they are
+/// sent, and a group whose members are promoted.
 #pragma once
 
 #include "host_driver.hpp"
@@ -8,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -26,6 +28,10 @@
   host_pointer Host;
   effect_list Effects;
   unsigned Process = 0; ///< Tells answers to this process from earlier ones.
+  instant SuspendedUntil{};
+  /// A caller's transaction at the primary, which goes on as long as the host
+  /// lets it.
+  std::optional<target_connection> Transaction;
 };
 
 struct simulated_fleet {
@@ -46,11 +52,15 @@
   std::set<std::string> Draining;
   std::uint64_t HighestToken = 0;
   std::size_t Promotions = 0;
+  std::size_t UnsentOrders = 0;
+  double SlowOrders = 0; ///< Share of the orders that wait for up to 2 s.
   std::vector<std::string> Violations;
 
   void startHost(const std::string &Name);
   /// \brief Ends a host; another process starts under its name at once.
   void restartHost(const std::string &Name);
+  /// \brief Stops a host's steps; what happens meanwhile reaches it afterwards.
+  void suspendHost(const std::string &Name, duration Span);
   void listTargets(const std::set<std::string> &NowDraining);
   void advanceTime(duration Span);
   /// \brief Whether the group's record is open for its primary.
@@ -67,7 +77,14 @@
   void carryOut(const std::string &Name, const effects::change_records &Change);
   void carryOut(const std::string &Name, const effects::read_records &Read);
   void carryOut(const std::string &Name, const effects::order_promotion &Order);
-  void renew(const std::string &Name, std::uint64_t Lease);
+  /// Sends an order if its host still allows that.
+  void sendOrder(const std::string &Name, unsigned Process,
+                 const effects::order_promotion &Order);
+  void promote(const std::string &Target);
+  void continueTransaction(const std::string &Name, simulated_host &Simulated);
+  /// Grants a lease, or renews one that has not ended.
+  void renew(const std::string &Name, std::uint64_t Lease, bool IsNew);
+  void revoke(std::uint64_t Lease);
   /// Makes a change if its condition holds.
   change_outcome apply(const effects::change_records &Change);
   void write(const store_write &Write, std::uint64_t Lease);
--- a/tests/proxy/simulated_fleet_tests.cpp
+++ b/tests/proxy/simulated_fleet_tests.cpp
@@ -1,5 +1,5 @@
 /// Rules of a fleet whose store loses answers, rejects calls and makes changes
-/// late, while hosts restart and primaries are replaced.
+/// late, while hosts restart or are suspended and primaries are replaced.
 #include "simulated_fleet.hpp"
 
 using namespace session_test;
@@ -43,6 +43,39 @@
   CHECK(Promotions > Seeds);
 }
 
+TEST_CASE("A suspended host neither orders nor goes on at a replaced primary") {
+  // Guards against rights that are checked when an order is decided or a
+  // transaction begins, and not when the order or a statement is sent.
+  std::size_t Promotions = 0;
+  std::size_t UnsentOrders = 0;
+  for (unsigned Seed = 1; Seed <= Seeds; ++Seed) {
+    INFO("seed " << Seed);
+    simulated_fleet Fleet(Seed, HostCount);
+    Fleet.advanceTime(5s);
+    Fleet.Faults = {0.05, 0.05, 0.05};
+    Fleet.SlowOrders = 0.3;
+    for (int Second = 0; Second < 60; ++Second) {
+      if (Second % 6 == 0)
+        Fleet.listTargets({Fleet.Leader});
+      if (Second % 6 == 5)
+        Fleet.listTargets({});
+      const auto Name =
+          "host-" + std::to_string(1 + Fleet.Random() % HostCount);
+      if (Fleet.Random() % 2 == 0)
+        Fleet.suspendHost(
+            Name, std::chrono::milliseconds(200 + Fleet.Random() % 4000));
+      Fleet.advanceTime(1s);
+    }
+    for (const std::string &Violation : Fleet.Violations)
+      UNSCOPED_INFO(Violation);
+    CHECK(Fleet.Violations.empty());
+    Promotions += Fleet.Promotions;
+    UnsentOrders += Fleet.UnsentOrders;
+  }
+  CHECK(Promotions > Seeds);
+  CHECK(UnsentOrders > 0);
+}
+
 TEST_CASE("A fleet serves again once its store answers every call") {
   for (unsigned Seed = 1; Seed <= Seeds; ++Seed) {
     INFO("seed " << Seed);
