Share the loop that lets a coordinator go on between tests

handover_tests and unconfirmed_change_tests had the same loop, and two cases of position_tests the same read.

--- a/tests/proxy/coordinator_driver.hpp
+++ b/tests/proxy/coordinator_driver.hpp
@@ -74,4 +74,18 @@
           events::target_probed{Probe.Target, Found->second, Probe.Call});
 }
 
+/// Lets the coordinator go on for a while. This host is the only one, it has
+/// acknowledged every closure, and the targets that Statuses names answer.
+inline void
+runCoordinator(host_driver &Driver, duration Span,
+               const std::map<std::string, target_status> &Statuses) {
+  const instant End = Driver.Now + Span;
+  while (Driver.Now < End) {
+    Driver.grantLease(7);
+    Driver.advanceTime(20ms);
+    acknowledgeClosure(Driver, 100);
+    answerProbes(Driver, Statuses);
+  }
+}
+
 } // namespace session_test
--- a/tests/proxy/handover_tests.cpp
+++ b/tests/proxy/handover_tests.cpp
@@ -12,23 +12,12 @@
 const std::map<std::string, target_status> AfterPromotion = {
     {"b", {true, {2, 0}, 2}}, {"c", {false, {1, 90}, 1}}};
 
-void goOn(host_driver &Driver, duration Span,
-          const std::map<std::string, target_status> &Statuses) {
-  const instant End = Driver.Now + Span;
-  while (Driver.Now < End) {
-    Driver.grantLease(7);
-    Driver.advanceTime(20ms);
-    acknowledgeClosure(Driver, 100);
-    answerProbes(Driver, Statuses);
-  }
-}
-
 /// A coordinator that has just ordered to promote b.
 effects::order_promotion orderPromotion(host_driver &Driver) {
   becomeCoordinator(Driver);
   reportUnreachable(Driver, "host-2", "a");
   for (int Round = 0; Round < 20; ++Round) {
-    goOn(Driver, 20ms, BeforePromotion);
+    runCoordinator(Driver, 20ms, BeforePromotion);
     const auto Orders = Driver.takeEffects<effects::order_promotion>();
     if (!Orders.empty())
       return Orders.front();
@@ -55,9 +44,9 @@
   host_driver Driver;
   (void)orderPromotion(Driver);
   Driver.send(events::stop_requested{});
-  goOn(Driver, 600ms, BeforePromotion);
+  runCoordinator(Driver, 600ms, BeforePromotion);
   CHECK_FALSE(returnsRole(Driver));
-  goOn(Driver, 60ms, AfterPromotion);
+  runCoordinator(Driver, 60ms, AfterPromotion);
   storeGroupRecords(Driver);
   Driver.advanceTime(20ms);
   CHECK(returnsRole(Driver));
@@ -75,10 +64,10 @@
   host_driver Driver;
   (void)orderPromotion(Driver);
   Driver.send(events::stop_requested{});
-  goOn(Driver, 3s, BeforePromotion);
+  runCoordinator(Driver, 3s, BeforePromotion);
   CHECK(Driver.takeEffects<effects::revoke_lease>().empty());
   CHECK(Driver.takeEffects<effects::stop_process>().empty());
-  goOn(Driver, 60ms, AfterPromotion);
+  runCoordinator(Driver, 60ms, AfterPromotion);
   storeGroupRecords(Driver);
   Driver.advanceTime(40ms);
   CHECK_FALSE(Driver.takeEffects<effects::stop_process>().empty());
@@ -95,7 +84,7 @@
   // waits after the decision; it would order another one meanwhile.
   host_driver Driver;
   const auto Order = orderPromotion(Driver);
-  goOn(Driver, 400ms, BeforePromotion);
+  runCoordinator(Driver, 400ms, BeforePromotion);
   CHECK_FALSE(mayOrder(*Driver.Host, Order, Driver.Now));
 }
 
@@ -127,7 +116,7 @@
   (void)orderPromotion(Driver);
   Driver.send(events::promotion_answered{Group, lastOrder(Driver),
                                          order_outcome::NotSent});
-  goOn(Driver, 400ms, BeforePromotion);
+  runCoordinator(Driver, 400ms, BeforePromotion);
   CHECK(Driver.takeEffects<effects::order_promotion>().size() == 1);
 }
 
@@ -158,11 +147,11 @@
   const auto First = orderPromotion(Driver);
   Driver.send(
       events::promotion_answered{Group, First.Call, order_outcome::NotSent});
-  goOn(Driver, 400ms, BeforePromotion);
+  runCoordinator(Driver, 400ms, BeforePromotion);
   REQUIRE(Driver.takeEffects<effects::order_promotion>().size() == 1);
   Driver.send(
       events::promotion_answered{Group, First.Call, order_outcome::Rejected});
-  goOn(Driver, 400ms, BeforePromotion);
+  runCoordinator(Driver, 400ms, BeforePromotion);
   CHECK(Driver.takeEffects<effects::order_promotion>().empty());
 }
 
--- a/tests/proxy/position_tests.cpp
+++ b/tests/proxy/position_tests.cpp
@@ -61,6 +61,16 @@
       {Group, "a", Position, Age, Requests.front().Request.AskedAt}});
 }
 
+/// Sends a read that needs the primary. \returns The connection that it uses.
+connection_number readFromPrimary(host_driver &Driver) {
+  const session_number Session = Driver.openSession("live");
+  Driver.sendStatement(Session, "r1", statement_kind::Read, "READ 1");
+  Driver.acceptDials();
+  const auto Sent = Driver.takeEffects<effects::send_target>();
+  REQUIRE(Sent.size() == 1);
+  return Sent.front().Connection;
+}
+
 } // namespace
 
 TEST_CASE("A replica's owner runs reads by a position that it asked for") {
@@ -219,14 +229,10 @@
   // The primary may have followed another one between the two generations.
   host_driver Driver;
   Driver.becomeReady();
-  const session_number Session = Driver.openSession("live");
-  Driver.sendStatement(Session, "r1", statement_kind::Read, "READ 1");
-  Driver.acceptDials();
-  const auto Sent = Driver.takeEffects<effects::send_target>();
-  REQUIRE(Sent.size() == 1);
+  const connection_number Connection = readFromPrimary(Driver);
   Driver.Host->Groups.at(Group).Samples.Samples.clear();
   Driver.writeGroupRecord("a", 5, true);
-  Driver.send(events::target_answered{Sent.front().Connection,
+  Driver.send(events::target_answered{Connection,
                                       host_driver::completedAnswer({1, 4})});
   CHECK(Driver.Host->Groups.at(Group).Samples.Samples.empty());
 }
@@ -234,12 +240,8 @@
 TEST_CASE("A statement at the primary proves its position") {
   host_driver Driver;
   Driver.becomeReady();
-  const session_number Session = Driver.openSession("live");
-  Driver.sendStatement(Session, "r1", statement_kind::Read, "READ 1");
-  Driver.acceptDials();
-  const auto Sent = Driver.takeEffects<effects::send_target>();
-  REQUIRE(Sent.size() == 1);
-  Driver.send(events::target_answered{Sent.front().Connection,
+  const connection_number Connection = readFromPrimary(Driver);
+  Driver.send(events::target_answered{Connection,
                                       host_driver::completedAnswer({1, 4})});
   const auto &Samples = Driver.Host->Groups.at(Group).Samples.Samples;
   REQUIRE_FALSE(Samples.empty());
--- a/tests/proxy/unconfirmed_change_tests.cpp
+++ b/tests/proxy/unconfirmed_change_tests.cpp
@@ -41,13 +41,7 @@
 /// Lets the coordinator go on for a while. All targets answer.
 /// \returns Whether it has ordered a promotion.
 bool ordersPromotion(host_driver &Driver, duration Span) {
-  const instant End = Driver.Now + Span;
-  while (Driver.Now < End) {
-    Driver.grantLease(7);
-    Driver.advanceTime(20ms);
-    acknowledgeClosure(Driver, 100);
-    answerProbes(Driver, AllTargets);
-  }
+  runCoordinator(Driver, Span, AllTargets);
   return !Driver.takeEffects<effects::order_promotion>().empty();
 }
 
