Share what two pairs of test cases wrote twice

Cause: reading the whole change again. The two cases of candidate_tests about the platform's answers differed in one enumerator, and two cases of simulated_fleet_tests ended with the same check.

Change: candidateAfter and checkNoViolation hold what they share.

Result: 919 assertions in 155 cases of test_proxy before and after; format and lint of both files are clean.

--- a/tests/proxy/candidate_tests.cpp
+++ b/tests/proxy/candidate_tests.cpp
@@ -68,6 +68,18 @@
 target_status replicaAt(std::uint64_t Index) { return {false, {1, Index}, 1}; }
 target_status primaryAt(std::uint64_t Index) { return {true, {1, Index}, 1}; }
 
+/// Lets the platform answer the order to promote b, the best of two replicas.
+/// \returns The target of the next order, if there is one.
+std::optional<std::string> candidateAfter(order_outcome Outcome) {
+  host_driver Driver;
+  becomeCoordinator(Driver);
+  reportUnreachable(Driver, "host-2", "a");
+  const statuses Statuses = {{"b", replicaAt(90)}, {"c", replicaAt(40)}};
+  REQUIRE(promote(Driver, 1s, Statuses) == "b");
+  Driver.send(events::promotion_answered{Group, lastOrder(Driver), Outcome});
+  return promote(Driver, 1s, Statuses);
+}
+
 } // namespace
 
 TEST_CASE("A draining replica that alone has the newest commits is promoted") {
@@ -194,25 +206,11 @@
     "An order that the platform rejects is repeated for the same replica") {
   // Guards against the loss of acknowledged commits: a platform that was
   // overloaded for a moment ruled out the best replica.
-  host_driver Driver;
-  becomeCoordinator(Driver);
-  reportUnreachable(Driver, "host-2", "a");
-  const statuses Statuses = {{"b", replicaAt(90)}, {"c", replicaAt(40)}};
-  REQUIRE(promote(Driver, 1s, Statuses) == "b");
-  Driver.send(events::promotion_answered{Group, lastOrder(Driver),
-                                         order_outcome::Rejected});
-  CHECK(promote(Driver, 1s, Statuses) == "b");
+  CHECK(candidateAfter(order_outcome::Rejected) == "b");
 }
 
 TEST_CASE("A replica that does not run is passed over") {
-  host_driver Driver;
-  becomeCoordinator(Driver);
-  reportUnreachable(Driver, "host-2", "a");
-  const statuses Statuses = {{"b", replicaAt(90)}, {"c", replicaAt(40)}};
-  REQUIRE(promote(Driver, 1s, Statuses) == "b");
-  Driver.send(events::promotion_answered{Group, lastOrder(Driver),
-                                         order_outcome::NotRunning});
-  CHECK(promote(Driver, 1s, Statuses) == "c");
+  CHECK(candidateAfter(order_outcome::NotRunning) == "c");
 }
 
 TEST_CASE("A primary of an earlier term that alone answers is not used") {
--- a/tests/proxy/simulated_fleet_tests.cpp
+++ b/tests/proxy/simulated_fleet_tests.cpp
@@ -24,6 +24,12 @@
   }
 }
 
+void checkNoViolation(const simulated_fleet &Fleet) {
+  for (const std::string &Violation : Fleet.Violations)
+    UNSCOPED_INFO(Violation);
+  CHECK(Fleet.Violations.empty());
+}
+
 } // namespace
 
 TEST_CASE("No host uses a replaced primary, whatever becomes of the changes of "
@@ -35,9 +41,7 @@
     Fleet.advanceTime(5s);
     Fleet.Faults = {0.1, 0.15, 0.1};
     runTrouble(Fleet);
-    for (const std::string &Violation : Fleet.Violations)
-      UNSCOPED_INFO(Violation);
-    CHECK(Fleet.Violations.empty());
+    checkNoViolation(Fleet);
     Promotions += Fleet.Promotions;
   }
   CHECK(Promotions > Seeds);
@@ -66,9 +70,7 @@
             Name, std::chrono::milliseconds(200 + Fleet.Random() % 4000));
       Fleet.advanceTime(1s);
     }
-    for (const std::string &Violation : Fleet.Violations)
-      UNSCOPED_INFO(Violation);
-    CHECK(Fleet.Violations.empty());
+    checkNoViolation(Fleet);
     Promotions += Fleet.Promotions;
     UnsentOrders += Fleet.UnsentOrders;
   }
