Log the right and the positions that a statement relied on

Change: both lines have generation (0 at a replica), required and position. position.lower tells of a primary whose log is shorter than an earlier answer showed it; samples hold when they were received, so that answers that arrive out of order don't count. No decision depends on it.

Ruled out: a line for each sample: 40 lines a second would not hold them.

Measured: test_proxy passes.

--- a/include/bronzespar/proxy/freshness.hpp
+++ b/include/bronzespar/proxy/freshness.hpp
@@ -16,6 +16,7 @@
 struct position_sample {
   log_position Position;
   instant SentAt{};
+  instant ReceivedAt{}; ///< When the answer with it arrived.
 };
 
 /// \brief Samples of one group, oldest first.
@@ -28,9 +29,13 @@
 };
 
 /// \brief Adds the position in a primary's answer.
-/// \param SentAt When the statement was sent to the primary.
-void addSample(freshness_samples &Samples, log_position Position,
-               instant SentAt);
+void addSample(freshness_samples &Samples, const position_sample &Sample);
+
+/// \brief Whether a primary's log is shorter than an earlier answer showed it.
+/// \remarks Answers to statements that ran side by side may arrive out of
+/// order.
+[[nodiscard]] bool isLowerThanBefore(const freshness_samples &Samples,
+                                     const position_sample &Sample) noexcept;
 
 /// \brief Finds the lowest position that a read at Now must cover.
 /// \param MaxAge Only writes younger than this may be missing.
--- a/src/proxy/connections.cpp
+++ b/src/proxy/connections.cpp
@@ -158,7 +158,8 @@
       Group->Record->Primary == Connection.Target &&
       Group->Record->Generation == Connection.PrimaryGeneration &&
       mayUsePrimary(Step.State, Connection.Group, Step.Now))
-    addSample(Group->Samples, Position, Connection.SentAt);
+    recordSample(Step, Connection.Group, *Group,
+                 {Position, Connection.SentAt, Step.Now});
 }
 
 void handleSetupAnswer(step_context &Step, target_connection &Connection,
@@ -361,6 +362,7 @@
   Connection.BeginsTransaction = Request.InTransaction;
   if (!OnReplica)
     beginUseOfPrimary(Step, Connection);
+  Request.PrimaryGeneration = Connection.PrimaryGeneration;
   auto Setup = buildSetup(Connection, Session, Request);
   if (Request.InTransaction) {
     const auto Kind = Session.Transaction->ReadOnly ? statement_kind::BeginRead
@@ -378,6 +380,7 @@
   Request.Connection = Connection.Number;
   Request.Attempts += 1;
   Request.TokenTaken = false;
+  Request.PrimaryGeneration = Connection.PrimaryGeneration;
   Connection.Request = Request.Number;
   Connection.BeginsTransaction = false;
   if (Connection.Owner) {
--- a/src/proxy/freshness.cpp
+++ b/src/proxy/freshness.cpp
@@ -5,16 +5,25 @@
 
 namespace bronzespar::proxy {
 
-void addSample(freshness_samples &Samples, log_position Position,
-               instant SentAt) {
+void addSample(freshness_samples &Samples, const position_sample &Sample) {
   if (!Samples.Samples.empty() &&
-      SentAt < Samples.Samples.back().SentAt + freshness_samples::MinSpacing)
+      Sample.SentAt <
+          Samples.Samples.back().SentAt + freshness_samples::MinSpacing)
     return;
-  Samples.Samples.push_back({Position, SentAt});
+  Samples.Samples.push_back(Sample);
   if (Samples.Samples.size() > freshness_samples::MaxSamples)
     Samples.Samples.pop_front();
 }
 
+bool isLowerThanBefore(const freshness_samples &Samples,
+                       const position_sample &Sample) noexcept {
+  return std::any_of(Samples.Samples.begin(), Samples.Samples.end(),
+                     [&](const position_sample &Earlier) {
+                       return Earlier.ReceivedAt <= Sample.SentAt &&
+                              Sample.Position < Earlier.Position;
+                     });
+}
+
 std::optional<position_sample> positionForAge(const freshness_samples &Samples,
                                               instant Now, duration MaxAge) {
   const auto Found =
--- a/src/proxy/owners.cpp
+++ b/src/proxy/owners.cpp
@@ -124,6 +124,7 @@
   Connection.Request = Request.Number;
   if (!OnReplica)
     beginUseOfPrimary(Step, Connection);
+  Request.PrimaryGeneration = Connection.PrimaryGeneration;
   Request.Connection = Connection.Number;
   Request.RequiredPosition = RequiredPosition;
   Request.Attempts += 1;
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -61,6 +61,13 @@
 /// it.
 [[nodiscard]] std::optional<log_position>
 sessionPosition(const host &State, const target_request &Request);
+/// \brief Adds a sample of the group's primary. Logs one that is lower than an
+/// earlier one, as the target has then lost a part of its log.
+void recordSample(step_context &Step, const std::string &Name,
+                  group_state &Group, const position_sample &Sample);
+/// \brief Text of a position in log lines, empty if there is none.
+[[nodiscard]] std::string
+positionText(const std::optional<log_position> &Position);
 void superviseSamples(step_context &Step);
 /// \brief Notes that a read needs a position of the group's primary.
 void noteReplicaRead(step_context &Step, const std::string &Name);
--- a/src/proxy/positions.cpp
+++ b/src/proxy/positions.cpp
@@ -54,6 +54,25 @@
 
 } // namespace
 
+std::string positionText(const std::optional<log_position> &Position) {
+  if (!Position)
+    return {};
+  return std::to_string(Position->Term) + '.' + std::to_string(Position->Index);
+}
+
+void recordSample(step_context &Step, const std::string &Name,
+                  group_state &Group, const position_sample &Sample) {
+  if (isLowerThanBefore(Group.Samples, Sample))
+    logLine(Step, "position.lower",
+            {{"group", Name},
+             {"primary", Group.Record->Primary},
+             {"generation", std::to_string(Group.Record->Generation)},
+             {"position", positionText(Sample.Position)},
+             {"before", positionText(Group.Samples.Samples.back().Position)},
+             {"age_ms", elapsedMsText(Sample.SentAt, Step.Now)}});
+  addSample(Group.Samples, Sample);
+}
+
 void superviseSamples(step_context &Step) {
   for (auto &[Name, Group] : Step.State.Groups)
     askForPosition(Step, Name, Group);
@@ -88,7 +107,8 @@
     return;
   // The clocks of two hosts differ, so that only the age is comparable. It
   // ended after the request was sent.
-  addSample(Group->Samples, Shared.Position, Shared.AskedAt - Shared.Age);
+  recordSample(Step, Shared.Group, *Group,
+               {Shared.Position, Shared.AskedAt - Shared.Age, Step.Now});
   if (target_view *Target = findIn(Step.State.Targets, Shared.Primary))
     Target->KnownPosition = std::max(Target->KnownPosition, Shared.Position);
 }
--- a/src/proxy/requests.cpp
+++ b/src/proxy/requests.cpp
@@ -141,7 +141,10 @@
            {"attempts", std::to_string(Request.Attempts)},
            {"ms", elapsedMsText(Request.ArrivedAt, Step.Now)},
            {"cause", Answer.Code == answer_code::Complete ? "" : Answer.Text},
-           {"settings", std::to_string(Step.State.Settings->Version)}});
+           {"settings", std::to_string(Step.State.Settings->Version)},
+           {"generation", std::to_string(Request.PrimaryGeneration)},
+           {"required", positionText(Request.RequiredPosition)},
+           {"position", positionText(Answer.Position)}});
 }
 
 } // namespace
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -91,6 +91,8 @@
   std::set<std::string> ExcludedTargets; ///< Targets where an attempt failed.
   /// Position that the target must cover, as of the latest attempt.
   std::optional<log_position> RequiredPosition;
+  /// Generation under which the latest attempt uses a primary, 0 at a replica.
+  std::uint64_t PrimaryGeneration = 0;
   std::optional<waiting_rank> Rank;
   connection_number Connection = 0;
   /// Connection of an earlier attempt that may still be answered, or 0.
--- a/tests/proxy/parts_tests.cpp
+++ b/tests/proxy/parts_tests.cpp
@@ -49,20 +49,32 @@
 
 TEST_CASE("A bounded staleness read requires the oldest sufficient position") {
   freshness_samples Samples;
-  addSample(Samples, {1, 10}, Start);
-  addSample(Samples, {1, 20}, Start + 500ms);
-  addSample(Samples, {1, 30}, Start + 1000ms);
+  addSample(Samples, {{1, 10}, Start, Start});
+  addSample(Samples, {{1, 20}, Start + 500ms, Start + 500ms});
+  addSample(Samples, {{1, 30}, Start + 1000ms, Start + 1000ms});
   const auto Found = positionForAge(Samples, Start + 1200ms, 800ms);
   REQUIRE(Found);
   CHECK(Found->Position == log_position{1, 20});
   CHECK_FALSE(positionForAge(Samples, Start + 3000ms, 800ms));
 }
 
+TEST_CASE("A position lower than one received before its statement was sent is "
+          "noticed") {
+  freshness_samples Samples;
+  addSample(Samples, {{1, 10}, Start, Start + 50ms});
+  CHECK(isLowerThanBefore(Samples, {{1, 9}, Start + 50ms, Start + 60ms}));
+  // The answers to statements that ran side by side may arrive out of order.
+  CHECK_FALSE(isLowerThanBefore(Samples, {{1, 9}, Start + 40ms, Start + 60ms}));
+  CHECK_FALSE(
+      isLowerThanBefore(Samples, {{1, 10}, Start + 50ms, Start + 60ms}));
+}
+
 TEST_CASE("Freshness samples are limited in number and spacing") {
   freshness_samples Samples;
   for (int Step = 0; Step < 1000; ++Step)
-    addSample(Samples, {1, static_cast<std::uint64_t>(Step)},
-              Start + Step * 10ms);
+    addSample(Samples, {{1, static_cast<std::uint64_t>(Step)},
+                        Start + Step * 10ms,
+                        Start + Step * 10ms});
   CHECK(Samples.Samples.size() == freshness_samples::MaxSamples);
   CHECK(Samples.Samples.back().SentAt - Samples.Samples.front().SentAt >=
         (freshness_samples::MaxSamples - 1) * freshness_samples::MinSpacing);
