Refuse forwarded statements of another protocol

Processes that started anew left it to owners of before, which add none.

Change: a forwarded statement carries the protocol of its host; an owner of another one answers Busy, not run. The number is 0, which all versions since mean, so that this landing refuses nothing in a rolling update.

Ruled out: a file identifier of the frames: the connection would end, and a write under way would be in doubt.

--- a/src/serve/peer_codec.cpp
+++ b/src/serve/peer_codec.cpp
@@ -52,7 +52,8 @@
             Forwarded.Statement.Operand.c_str(), Forwarded.Statement.Writes,
             RequiredPosition, static_cast<std::uint8_t>(Forwarded.Begins),
             Forwarded.InTransaction, Forwarded.NeedsPrimary, Forwarded.Priority,
-            Forwarded.RemainingTime.count(), Forwarded.MaxStaleness.count());
+            Forwarded.RemainingTime.count(), Forwarded.MaxStaleness.count(),
+            ForwardProtocol);
       });
 }
 
--- a/src/serve/peer_codec.hpp
+++ b/src/serve/peer_codec.hpp
@@ -5,6 +5,7 @@
 
 #include <session_peer_generated.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -12,6 +13,11 @@
 
 namespace wire = session_wire;
 
+/// What hosts leave to each other when they forward statements, such as which
+/// of them decides the position that a read requires. It is raised when that
+/// changes, as processes of two versions run side by side during an update.
+constexpr std::uint16_t ForwardProtocol = 0;
+
 /// \brief Encodes a frame.
 /// \param Body Builds the frame's body with the builder that it is given.
 template <class Build>
--- a/src/serve/peer_links.cpp
+++ b/src/serve/peer_links.cpp
@@ -93,9 +93,7 @@
     if (const auto Decoded = decodePosition(*Shared))
       Events(proxy::events::position_received{*Decoded});
   } else if (const auto *Forward = Message->body_as_ForwardAsk()) {
-    if (auto Forwarded = decodeForward(*Forward))
-      Events(proxy::events::forward_requested{Name, Forward->ticket(),
-                                              std::move(*Forwarded)});
+    forwardArrived(Name, *Forward);
   } else if (const auto *End = Message->body_as_ForwardEnd()) {
     Events(proxy::events::forward_ended{Name, End->ticket()});
   } else if (Message->body_as_ForwardPending() != nullptr) {
@@ -119,6 +117,23 @@
   }
 }
 
+void peer_links::forwardArrived(const std::string &Name,
+                                const wire::ForwardAsk &Ask) {
+  if (Ask.protocol() != ForwardProtocol) {
+    proxy::answer Refusal;
+    Refusal.Code = proxy::answer_code::Busy;
+    Refusal.Text = "the owner speaks forward protocol " +
+                   std::to_string(ForwardProtocol) + ", not " +
+                   std::to_string(Ask.protocol());
+    carryOut(
+        proxy::effects::answer_forward{Name, Ask.ticket(), std::move(Refusal)});
+    return;
+  }
+  if (auto Forwarded = decodeForward(Ask))
+    Events(proxy::events::forward_requested{Name, Ask.ticket(),
+                                            std::move(*Forwarded)});
+}
+
 void peer_links::relayRequested(const std::string &Name, std::uint64_t Number,
                                 platform::http_call Call) {
   RelayHandler(std::move(Call), [this, Name,
--- a/src/serve/peer_links.hpp
+++ b/src/serve/peer_links.hpp
@@ -11,6 +11,10 @@
 #include <memory>
 #include <string>
 
+namespace bronzespar::session_wire {
+struct ForwardAsk;
+}
+
 namespace bronzespar::serve {
 
 /// \brief Result of a relayed call.
@@ -70,6 +74,9 @@
   void accept();
   frame_socket &findOrDial(const endpoint &Where);
   void frameArrived(const std::string &Name, const std::string &Frame);
+  /// Refuses a statement of a host that speaks another forward protocol.
+  void forwardArrived(const std::string &Name,
+                      const session_wire::ForwardAsk &Ask);
   void relayRequested(const std::string &Name, std::uint64_t Number,
                       platform::http_call Call);
   void relayAnswered(std::uint64_t Number, relay_answer Answer);
