Let the store refuse a registration that was overtaken

Cause: the host's record was written without a condition. A late write of an earlier process replaced the record and took it away with that process's lease. No coordinator waited for the host from then on, and only its watch could tell it.

Change: a registration expects the revision that the host last wrote or saw, 0 for none. A refusal's answer shows the record: under the present lease it counts as stored; under another lease, or gone, a host that was registered gives up its lease. A registration is still one call; only a refused one is repeated.

Ruled out: a read before each first registration, as a refusal tells the same.

--- a/include/bronzespar/proxy/interface.hpp
+++ b/include/bronzespar/proxy/interface.hpp
@@ -195,6 +195,8 @@
   call_number Call = 0;
   change_outcome Outcome = change_outcome::Unknown;
   std::uint64_t Revision = 0;
+  /// After a conflict, the expected records that exist, as they stand now.
+  std::optional<std::vector<store_record>> Current = std::nullopt;
 };
 /// \brief Answer to a grant or a renewal of the lease.
 /// \remarks The lease's lifetime counts from SentAt, when the call was sent.
--- a/models/primary_lease.pml
+++ b/models/primary_lease.pml
@@ -10,6 +10,10 @@
  * primary, and for a while after it has learnt of the closed record; it acknowledges
  * that only without transactions. A host keeps its transactions when its lease ends.
  *
+ * A registration that is not answered may be made late, under the lease of an earlier
+ * incarnation that lasts until any time. It expects the record that its incarnation
+ * knew, so that the store refuses it once a later one has registered.
+ *
  * Broken variants, which the check must detect:
  *   BROKEN_REGISTER  hosts use the primary without waiting for their registration
  *   BROKEN_ORDER     hosts read the record before they register
@@ -18,6 +22,7 @@
  *                    store may end the lease first
  *   BROKEN_TRANSACTION a transaction goes on without any check
  *   BROKEN_RENEWED     a transaction goes on under whatever lease the host holds
+ *   BROKEN_EXPECTED    a registration is made whatever record stands there
  *   BROKEN_CLOSING     a host that registers while the record is closed takes it for one
  *                      whose closing waits for its acknowledgement
  */
@@ -26,6 +31,8 @@
 bool closed = false;        /* the record in the store is closed */
 bool promoted = false;      /* another target is primary */
 bool listed[HOSTS];         /* registered in the store */
+bool late[HOSTS];           /* a registration of an earlier incarnation is under way */
+bool earlier[HOSTS];        /* the record is bound to the lease of an earlier incarnation */
 bool acked[HOSTS];          /* has acknowledged the closed record in the store */
 bool leased[HOSTS];         /* holds a lease by the host's own clock */
 bool believes_open[HOSTS];  /* the host has last read the record as open */
@@ -62,8 +69,10 @@
   atomic { read_open = !closed }
 #endif
   if
-  :: atomic { listed[h] = true; registered = true }  /* the call succeeds */
-  :: skip                                            /* the call is lost, no effect */
+  :: atomic { listed[h] = true; registered = true;  /* the call succeeds */
+       earlier[h] = false; acked[h] = false }
+  :: skip                                           /* the call is lost, no effect */
+  :: late[h] = true                                 /* it is made late, or never */
   fi;
 #ifndef BROKEN_ORDER
   atomic { read_open = !closed }
@@ -90,14 +99,23 @@
   goto new_incarnation
 }
 
+#ifdef BROKEN_EXPECTED
+#define MAY_WRITE(h) true
+#else
+#define MAY_WRITE(h) !listed[h]
+#endif
+
 /* The store ends a lease only after it has ended by the host's own clock. */
 proctype store(byte h) {
   do
 #ifdef BROKEN_LEASE
   :: atomic { listed[h] -> listed[h] = false; acked[h] = false }
 #else
-  :: atomic { (listed[h] && !leased[h]) -> listed[h] = false; acked[h] = false }
+  :: atomic { (listed[h] && (!leased[h] || earlier[h])) ->
+       listed[h] = false; acked[h] = false; earlier[h] = false }
 #endif
+  :: atomic { (late[h] && MAY_WRITE(h)) ->
+       late[h] = false; listed[h] = true; earlier[h] = true; acked[h] = false }
   od
 }
 
--- a/models/primary_lease.sh
+++ b/models/primary_lease.sh
@@ -4,6 +4,6 @@
 source "$(dirname "$0")/check.inc"
 must_hold primary_lease
 for variant in BROKEN_REGISTER BROKEN_ORDER BROKEN_LIST BROKEN_LEASE \
-  BROKEN_TRANSACTION BROKEN_RENEWED BROKEN_CLOSING; do
+  BROKEN_TRANSACTION BROKEN_RENEWED BROKEN_CLOSING BROKEN_EXPECTED; do
   must_break primary_lease "$variant"
 done
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -74,19 +74,73 @@
   effects::change_records Change;
   Change.Call = Lease.RegisterCall;
   Change.Lease = Lease.Id;
+  Change.Expected.emplace_back(ownKey(Step.State),
+                               Step.State.OwnRecord.Revision);
   Change.Writes.push_back({ownKey(Step.State), std::move(Value), true});
   Step.Out.push_back(std::move(Change));
 }
 
-void registrationStored(lease_state &Lease, std::uint64_t Revision,
-                        instant Now) {
+/// Takes over a change of this host's own record, unless a later one is known.
+/// \param Revision 0: the record was removed.
+void noteOwnRecord(host &State, std::uint64_t Revision, std::uint64_t AsOf) {
+  if (AsOf > State.OwnRecord.AsOf)
+    State.OwnRecord = {Revision, AsOf};
+}
+
+void registrationStored(step_context &Step, std::string Value,
+                        std::uint64_t Revision) {
+  lease_state &Lease = Step.State.Lease;
+  noteOwnRecord(Step.State, Revision, Revision);
   if (Lease.RegisteredValue.empty())
-    Lease.RegisteredAt = Now;
-  Lease.RegisteredValue = Lease.PendingValue;
+    Lease.RegisteredAt = Step.Now;
+  Lease.RegisteredValue = std::move(Value);
   Lease.RegisteredRevision = Revision;
   Lease.FailedRegistrations = 0;
 }
 
+/// Handles a registration that was refused because the host's record is not the
+/// one that it expected. Under the present lease, it is an earlier registration
+/// that was made without an answer. Otherwise the host is not registered; if it
+/// was, no coordinator waits for it any more.
+void registrationRefused(step_context &Step,
+                         const std::vector<store_record> &Current) {
+  lease_state &Lease = Step.State.Lease;
+  own_record_state &Own = Step.State.OwnRecord;
+  const auto Standing =
+      std::find_if(Current.begin(), Current.end(),
+                   [Key = ownKey(Step.State)](const store_record &Record) {
+                     return Record.Key == Key;
+                   });
+  if (Standing != Current.end() && Standing->Lease == Lease.Id) {
+    registrationStored(Step, Standing->Value, Standing->Revision);
+    return;
+  }
+  Own.Revision = Standing == Current.end() ? 0 : Standing->Revision;
+  Own.AsOf = std::max(Own.AsOf, Own.Revision);
+  if (!Lease.RegisteredValue.empty())
+    loseLease(Step);
+}
+
+void registrationEnded(step_context &Step, const events::change_ended &Event) {
+  lease_state &Lease = Step.State.Lease;
+  const std::uint64_t Expected = Step.State.OwnRecord.Revision;
+  Lease.RegisterCall = 0;
+  if (Event.Outcome == change_outcome::Done) {
+    registrationStored(Step, Lease.PendingValue, Event.Revision);
+    return;
+  }
+  logUnconfirmedChange(Step, ownKey(Step.State), Event);
+  if (Event.Outcome == change_outcome::LeaseGone) {
+    loseLease(Step);
+    return;
+  }
+  if (Event.Outcome == change_outcome::Conflict && Event.Current)
+    registrationRefused(Step, *Event.Current);
+  if (Step.State.OwnRecord.Revision == Expected)
+    Lease.NextRegisterAt =
+        Step.Now + storeRetryDelay(Lease.FailedRegistrations++);
+}
+
 void groupChanged(step_context &Step, const std::string &Name,
                   const store_record &Record) {
   group_state &Group = Step.State.Groups[Name];
@@ -116,8 +170,14 @@
   acknowledgeClosed(Step, Group);
 }
 
+void ownRecordChanged(step_context &Step, const store_record &Record) {
+  noteOwnRecord(Step.State, Record.Revision, Record.Revision);
+  hostChanged(Step, Step.State.Identity.Name, Record);
+}
+
 /// The store removes this host's own record when its lease ends.
 void ownRecordRemoved(step_context &Step, std::uint64_t Revision) {
+  noteOwnRecord(Step.State, 0, Revision);
   const lease_state &Lease = Step.State.Lease;
   if (!Lease.RegisteredValue.empty() && Revision > Lease.RegisteredRevision)
     loseLease(Step);
@@ -212,6 +272,8 @@
   const std::string_view Key = Record.Key;
   if (Key.starts_with(GroupsPrefix))
     groupChanged(Step, std::string(Key.substr(GroupsPrefix.size())), Record);
+  else if (Key == ownKey(Step.State))
+    ownRecordChanged(Step, Record);
   else if (Key.starts_with(HostsPrefix))
     hostChanged(Step, std::string(Key.substr(HostsPrefix.size())), Record);
   else if (Key == CoordinatorKey)
@@ -262,18 +324,8 @@
 }
 
 void changeEnded(step_context &Step, const events::change_ended &Event) {
-  lease_state &Lease = Step.State.Lease;
-  if (Event.Call == Lease.RegisterCall && Event.Call != 0) {
-    Lease.RegisterCall = 0;
-    if (Event.Outcome != change_outcome::Done)
-      logUnconfirmedChange(Step, ownKey(Step.State), Event);
-    if (Event.Outcome == change_outcome::Done)
-      registrationStored(Lease, Event.Revision, Step.Now);
-    else if (Event.Outcome == change_outcome::LeaseGone)
-      loseLease(Step);
-    else
-      Lease.NextRegisterAt =
-          Step.Now + storeRetryDelay(Lease.FailedRegistrations++);
+  if (Event.Call == Step.State.Lease.RegisterCall && Event.Call != 0) {
+    registrationEnded(Step, Event);
     return;
   }
   if (!coordinatorChangeEnded(Step, Event))
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -281,6 +281,14 @@
   instant NextRegisterAt{};
 };
 
+/// \brief What this host knows of its own record, whatever lease it is bound
+/// to. \remarks A registration expects it, so that the store refuses one that
+/// another has overtaken.
+struct own_record_state {
+  std::uint64_t Revision = 0; ///< 0: there is no record.
+  std::uint64_t AsOf = 0;     ///< Store revision of the latest known change.
+};
+
 /// \brief The current round of votes that this host requests during a store
 /// outage.
 struct vote_round {
@@ -374,6 +382,7 @@
   owner_table OwnerTable;
   allowance_table Allowances;
   lease_state Lease;
+  own_record_state OwnRecord;
   vote_round Votes;
   coordinator_state Coordinator;
   instant StartedAt{}; ///< Time of this process's first step.
--- a/tests/platform/codec_tests.cpp
+++ b/tests/platform/codec_tests.cpp
@@ -213,6 +213,20 @@
   CHECK_FALSE(parseWatch("no json"));
 }
 
+TEST_CASE("The answer to a refused change shows the expected records") {
+  const auto Records = parseConflict(
+      R"({"items":[{"Key":"bronzespar/hosts/a","Value":"bm9kZS0x",)"
+      R"("Revision":412,"Lease":7},{"Key":"bronzespar/duty","Revision":0}]})");
+  REQUIRE(Records);
+  REQUIRE(Records->size() == 1);
+  CHECK(Records->front().Key == "hosts/a");
+  CHECK(Records->front().Value == "node-1");
+  CHECK(Records->front().Revision == 412);
+  CHECK(Records->front().Lease == 7);
+  CHECK(parseConflict(R"({"items":[]})")->empty());
+  CHECK_FALSE(parseConflict(""));
+}
+
 TEST_CASE("A key that is not valid UTF-8 does not make its page unreadable") {
   // Guards against a list that is no longer followed because of one entry.
   const auto Page =
--- a/tests/proxy/simulated_fleet.cpp
+++ b/tests/proxy/simulated_fleet.cpp
@@ -46,6 +46,11 @@
   Until = std::max(Until, Now + Span);
 }
 
+void simulated_fleet::silenceWatch(const std::string &Name, duration Span) {
+  instant &Until = Hosts.at(Name).WatchSilentUntil;
+  Until = std::max(Until, Now + Span);
+}
+
 std::vector<target_entry> simulated_fleet::entries() const {
   std::vector<target_entry> Entries;
   for (const std::string Id : {"a", "b", "c"}) {
@@ -111,7 +116,22 @@
   // A watch tells of a change within 100 ms.
   for (const auto &[Name, Simulated] : Hosts)
     Scheduled.emplace(Now + Tick * static_cast<int>(1 + 5 * draw()),
-                      [this, Name = Name, Event] { send(Name, Event); });
+                      [this, Name = Name, Process = Simulated.Process, Event] {
+                        tellByWatch(Name, Process, Event);
+                      });
+}
+
+void simulated_fleet::tellByWatch(const std::string &Name, unsigned Process,
+                                  const event &Event) {
+  const simulated_host &Simulated = Hosts.at(Name);
+  if (Simulated.Process != Process)
+    return;
+  if (Now >= Simulated.WatchSilentUntil)
+    send(Name, Event);
+  else
+    Scheduled.emplace(Simulated.WatchSilentUntil, [this, Name, Process, Event] {
+      tellByWatch(Name, Process, Event);
+    });
 }
 
 void simulated_fleet::runScheduled() {
@@ -141,11 +161,15 @@
     });
 }
 
+duration simulated_fleet::drawDelay() {
+  const auto Range = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Faults.MaxDelay - Faults.MinDelay);
+  return Faults.MinDelay + std::chrono::milliseconds(static_cast<int>(
+                               static_cast<double>(Range.count()) * draw()));
+}
+
 void simulated_fleet::revoke(std::uint64_t Lease) {
-  const auto Delay =
-      draw() < Faults.Late
-          ? 1s + std::chrono::milliseconds(static_cast<int>(5000 * draw()))
-          : duration(0);
+  const duration Delay = draw() < Faults.Late ? drawDelay() : duration(0);
   Scheduled.emplace(Now + Delay, [this, Lease] { Leases.erase(Lease); });
 }
 
@@ -174,16 +198,16 @@
   const double Luck = draw();
   const auto Answer = [&](duration Delay, change_outcome Outcome,
                           std::uint64_t At) {
-    answer(Name, Delay, [Call = Change.Call, Outcome, At] {
-      return events::change_ended{Call, Outcome, At};
-    });
+    events::change_ended Event{Change.Call, Outcome, At};
+    if (Outcome == change_outcome::Conflict)
+      Event.Current = expectedRecords(Change);
+    answer(Name, Delay, [Event] { return Event; });
   };
   if (Luck < Faults.Rejected) {
     Answer(Tick, change_outcome::Rejected, 0);
   } else if (Luck < Faults.Rejected + Faults.Late) {
-    const auto Delay =
-        1s + std::chrono::milliseconds(static_cast<int>(5000 * draw()));
-    Scheduled.emplace(Now + Delay, [this, Change] { (void)apply(Change); });
+    Scheduled.emplace(Now + drawDelay(),
+                      [this, Change] { (void)apply(Change); });
     Answer(CallTimeout, change_outcome::Unknown, 0);
   } else {
     const change_outcome Outcome = apply(Change);
@@ -210,6 +234,15 @@
   return change_outcome::Done;
 }
 
+std::vector<store_record>
+simulated_fleet::expectedRecords(const effects::change_records &Change) const {
+  std::vector<store_record> Existing;
+  for (const auto &[Key, Expected] : Change.Expected)
+    if (const auto Found = Records.find(Key); Found != Records.end())
+      Existing.push_back(Found->second);
+  return Existing;
+}
+
 void simulated_fleet::write(const store_write &Write, std::uint64_t Lease) {
   const store_record Record{Write.Key, Write.Value, Revision,
                             Write.BoundToLease ? Lease : 0};
--- a/tests/proxy/simulated_fleet.hpp
+++ b/tests/proxy/simulated_fleet.hpp
@@ -19,9 +19,11 @@
 
 /// \brief Shares of the store's calls that do not go well.
 struct store_faults {
-  double Lost = 0;     ///< Made, without an answer.
-  double Late = 0;     ///< Made 1 to 6 s later, without an answer.
-  double Rejected = 0; ///< Not made.
+  double Lost = 0;        ///< Made, without an answer.
+  double Late = 0;        ///< Made later, without an answer.
+  double Rejected = 0;    ///< Not made.
+  duration MinDelay = 1s; ///< Of a call that is made late.
+  duration MaxDelay = 6s;
 };
 
 struct simulated_host {
@@ -29,6 +31,7 @@
   effect_list Effects;
   unsigned Process = 0; ///< Tells answers to this process from earlier ones.
   instant SuspendedUntil{};
+  instant WatchSilentUntil{}; ///< Its watch tells it nothing until then.
   /// A caller's transaction at the primary, which goes on as long as the host
   /// lets it.
   std::optional<target_connection> Transaction;
@@ -61,6 +64,8 @@
   void restartHost(const std::string &Name);
   /// \brief Stops a host's steps; what happens meanwhile reaches it afterwards.
   void suspendHost(const std::string &Name, duration Span);
+  /// \brief Stops what a host's watch tells it; its calls are answered.
+  void silenceWatch(const std::string &Name, duration Span);
   void listTargets(const std::set<std::string> &NowDraining);
   void advanceTime(duration Span);
   /// \brief Whether the group's record is open for its primary.
@@ -72,6 +77,8 @@
   void answer(const std::string &Name, duration Delay,
               std::function<event()> Make);
   void broadcast(const event &Event);
+  void tellByWatch(const std::string &Name, unsigned Process,
+                   const event &Event);
   void runScheduled();
   void carryOut(const std::string &Name, const effect &Effect);
   void carryOut(const std::string &Name, const effects::change_records &Change);
@@ -87,12 +94,16 @@
   void revoke(std::uint64_t Lease);
   /// Makes a change if its condition holds.
   change_outcome apply(const effects::change_records &Change);
+  /// The records that a change expects, as far as they exist.
+  [[nodiscard]] std::vector<store_record>
+  expectedRecords(const effects::change_records &Change) const;
   void write(const store_write &Write, std::uint64_t Lease);
   void erase(const std::string &Key);
   void endLeases();
   void checkRules();
   [[nodiscard]] target_status statusOf(const std::string &Target) const;
   [[nodiscard]] std::vector<target_entry> entries() const;
+  duration drawDelay();
   double draw() { return std::uniform_real_distribution<>(0, 1)(Random); }
 };
 
--- a/tests/proxy/unconfirmed_change_tests.cpp
+++ b/tests/proxy/unconfirmed_change_tests.cpp
@@ -90,6 +90,61 @@
   return std::nullopt;
 }
 
+/// The change that registers the host, if there is one.
+std::optional<effects::change_records> takeOwnWrite(host_driver &Driver) {
+  for (auto &Change : Driver.takeEffects<effects::change_records>())
+    if (!Change.Writes.empty() && Change.Writes.front().Key == "hosts/host-1")
+      return Change;
+  return std::nullopt;
+}
+
+std::uint64_t expectedRevision(const effects::change_records &Change) {
+  REQUIRE(Change.Expected.size() == 1);
+  CHECK(Change.Expected.front().first == "hosts/host-1");
+  return Change.Expected.front().second;
+}
+
+/// Ends a change with a conflict, and shows the record that stands there.
+void refuse(host_driver &Driver, const effects::change_records &Change,
+            const std::optional<store_record> &Standing) {
+  events::change_ended Ended{Change.Call, change_outcome::Conflict, 0};
+  Ended.Current.emplace();
+  if (Standing)
+    Ended.Current->push_back(*Standing);
+  Driver.send(std::move(Ended));
+  Driver.send(events::tick{});
+}
+
+/// Requests the first registration under lease 7.
+effects::change_records beginRegistration(host_driver &Driver) {
+  Driver.send(events::store_reachability_changed{true});
+  Driver.applySettings();
+  Driver.listTargets();
+  Driver.send(events::tick{});
+  Driver.grantLease(7);
+  Driver.send(events::tick{});
+  const auto Change = takeOwnWrite(Driver);
+  REQUIRE(Change);
+  return *Change;
+}
+
+/// Lets the host's record change, as it acknowledges a closed record.
+effects::change_records changeRegistration(host_driver &Driver) {
+  Driver.becomeReady();
+  Driver.writeGroupRecord("a", 2, false);
+  Driver.advanceTime(20ms);
+  const auto Change = takeOwnWrite(Driver);
+  REQUIRE(Change);
+  return *Change;
+}
+
+bool readsGroups(host_driver &Driver) {
+  for (const auto &Read : Driver.takeEffects<effects::read_records>())
+    if (Read.Prefix == GroupsPrefix)
+      return true;
+  return false;
+}
+
 bool holdsRole(const host_driver &Driver) {
   return Driver.Host->Coordinator.IsHeld;
 }
@@ -275,3 +330,78 @@
       {"hosts/host-1", formatRecord(Earlier), ++Driver.Revision, 6}});
   CHECK_FALSE(mayUsePrimary(*Driver.Host, Group, Driver.Now));
 }
+
+TEST_CASE("A registration expects the record that the host last knew") {
+  // Guards against a late registration that overwrites a later one.
+  host_driver Driver;
+  const auto First = beginRegistration(Driver);
+  CHECK(expectedRevision(First) == 0);
+  const std::uint64_t Stored = ++Driver.Revision;
+  Driver.send(events::change_ended{First.Call, change_outcome::Done, Stored});
+  Driver.writeGroupRecord("a", 2, false);
+  Driver.advanceTime(VoteLifetime);
+  const auto Second = takeOwnWrite(Driver);
+  REQUIRE(Second);
+  CHECK(expectedRevision(*Second) == Stored);
+}
+
+TEST_CASE("A registration that was made without an answer counts as stored") {
+  host_driver Driver;
+  const auto First = beginRegistration(Driver);
+  Driver.send(events::change_ended{First.Call, change_outcome::Unknown, 0});
+  Driver.advanceTime(100ms);
+  const auto Second = takeOwnWrite(Driver);
+  REQUIRE(Second);
+  CHECK(expectedRevision(*Second) == 0);
+  refuse(Driver, *Second,
+         store_record{"hosts/host-1", First.Writes.front().Value,
+                      ++Driver.Revision, 7});
+  CHECK_FALSE(takeOwnWrite(Driver));
+  CHECK(readsGroups(Driver));
+}
+
+TEST_CASE("A first registration replaces the record of an earlier lease") {
+  host_driver Driver;
+  const auto First = beginRegistration(Driver);
+  const std::uint64_t Standing = ++Driver.Revision;
+  refuse(Driver, First,
+         store_record{"hosts/host-1", First.Writes.front().Value, Standing, 6});
+  const auto Second = takeOwnWrite(Driver);
+  REQUIRE(Second);
+  CHECK(expectedRevision(*Second) == Standing);
+  CHECK_FALSE(readsGroups(Driver));
+}
+
+TEST_CASE("A host that finds another record instead of its own gives up its "
+          "lease") {
+  // Guards against a host that uses primaries, while no coordinator waits for
+  // it, until its watch tells that its record is gone.
+  const bool IsRemoved = GENERATE(true, false);
+  host_driver Driver;
+  const auto Change = changeRegistration(Driver);
+  REQUIRE(hasValidLease(*Driver.Host, Driver.Now));
+  if (IsRemoved)
+    refuse(Driver, Change, std::nullopt);
+  else
+    refuse(Driver, Change,
+           store_record{"hosts/host-1", Change.Writes.front().Value,
+                        ++Driver.Revision, 6});
+  CHECK_FALSE(hasValidLease(*Driver.Host, Driver.Now));
+}
+
+TEST_CASE("An earlier change of the own record that was made is replaced") {
+  // Its value lacks the acknowledgement that the later change carries.
+  host_driver Driver;
+  const auto Change = changeRegistration(Driver);
+  host_record Earlier;
+  Earlier.PeerEndpoint = {"10.0.0.1", 7560};
+  Earlier.DataCentre = "suva";
+  const std::uint64_t Standing = ++Driver.Revision;
+  refuse(Driver, Change,
+         store_record{"hosts/host-1", formatRecord(Earlier), Standing, 7});
+  CHECK(hasValidLease(*Driver.Host, Driver.Now));
+  const auto Next = takeOwnWrite(Driver);
+  REQUIRE(Next);
+  CHECK(expectedRevision(*Next) == Standing);
+  CHECK(Next->Writes.front().Value == Change.Writes.front().Value);
+}
