Require the newest known position of a primary that is read

Cause: only reads on replicas carried the position that the target's log must cover. At a primary, the right to use it was taken as proof of its log, so that a copy that restarted behind its log, or that is not what the record names, answered with an old row.

Change: a host keeps the highest position that the primary reported under the record's generation. Each single read, BEGIN and BEGIN READ at that primary is sent with AFTER it, also by a connection owner, and with the session's own commit of that generation. A refusal as lagging is repeated after 60, 120 and 240 ms, is logged as primary.lagging, and ends as a refusal that has not run; it sets no back-off of the target. Writes carry no position. A session's commit counts only for the group that it was made on, also for reads on replicas.

Ruled out: positions of earlier generations, as the next primary's log may be shorter by right; AFTER before writes, which the protocol does not allow.

--- a/src/proxy/connections.cpp
+++ b/src/proxy/connections.cpp
@@ -210,10 +210,11 @@
                 true);
 }
 
-void updateBackOff(step_context &Step, target_view &Target, answer_code Code) {
+void updateBackOff(step_context &Step, target_view &Target, answer_code Code,
+                   bool IsPrimary) {
   if (Code == answer_code::Busy || Code == answer_code::ReadOnly)
     Target.BusyUntil = Step.Now + BusyBackOff;
-  if (Code == answer_code::Lagging) {
+  if (Code == answer_code::Lagging && !IsPrimary) {
     Target.LaggingUntil = Step.Now + Target.LagBackOff;
     Target.LagBackOff = std::min(Target.LagBackOff * 2, MaxLagBackOff);
   }
@@ -239,7 +240,8 @@
       Target->Running -= 1;
     const double Latency = toMilliseconds(Step.Now - Connection.SentAt);
     Target->LatencyMs += (Latency - Target->LatencyMs) * LatencyWeight;
-    updateBackOff(Step, *Target, Answer.Code);
+    updateBackOff(Step, *Target, Answer.Code,
+                  Connection.PrimaryGeneration != 0);
   }
   if (Answer.Code == answer_code::UnknownName)
     Connection.PreparedNames.clear();
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -61,6 +61,11 @@
 /// it.
 [[nodiscard]] std::optional<log_position>
 sessionPosition(const host &State, const target_request &Request);
+/// \brief Position that a primary must have for a read or a BEGIN: what it
+/// reported under the record's generation, and the session's own commit.
+/// \returns Nothing for a write, which may carry no position.
+[[nodiscard]] std::optional<log_position>
+requiredAtPrimary(const host &State, const target_request &Request);
 /// \brief Adds a sample of the group's primary. Logs one that is lower than an
 /// earlier one, as the target has then lost a part of its log.
 void recordSample(step_context &Step, const std::string &Name,
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -133,8 +133,9 @@
 struct candidate {
   target_view *Target = nullptr;
   bool OnReplica = false; ///< Used without the right to use a primary.
-  /// Position that the target must have reached. If the statement is forwarded,
-  /// only the session's own: the owner adds what the route requires.
+  /// Position that the target must have reached. If the statement is forwarded
+  /// to a replica's owner, only the session's own: the owner adds what the
+  /// route requires.
   std::optional<log_position> RequiredPosition;
 };
 
@@ -156,7 +157,8 @@
     return;
   if (Request.NeedsPrimary) {
     if (Group.Record->Primary == Request.ForwardedTarget && MayUsePrimary)
-      Candidates.push_back({Target, false, std::nullopt});
+      Candidates.push_back(
+          {Target, false, requiredAtPrimary(Step.State, Request)});
     return;
   }
   noteReplicaRead(Step, Request.Route.Group);
@@ -216,7 +218,8 @@
         Group->Record->Open && Owner == owner_kind::Peer;
     if (Group->Record->Primary == Id && (MayUsePrimary || OwnerMayUsePrimary)) {
       if (Request.NeedsPrimary || !Request.ExcludedTargets.contains(Id))
-        Candidates.push_back({&Target, false, std::nullopt});
+        Candidates.push_back(
+            {&Target, false, requiredAtPrimary(State, Request)});
     } else if (MayReadReplica) {
       addReplica(Step, Request, Target, Owner == owner_kind::Peer, Candidates);
     }
--- a/src/proxy/positions.cpp
+++ b/src/proxy/positions.cpp
@@ -71,6 +71,8 @@
              {"before", positionText(Group.Samples.Samples.back().Position)},
              {"age_ms", elapsedMsText(Sample.SentAt, Step.Now)}});
   addSample(Group.Samples, Sample);
+  Group.PrimaryPosition =
+      std::max(Group.PrimaryPosition, std::optional(Sample.Position));
 }
 
 void superviseSamples(step_context &Step) {
@@ -122,7 +124,27 @@
   if (Session == State.Sessions.end() ||
       Request.Route.Consistency != read_consistency::ReadYourWrites)
     return std::nullopt;
-  return Session->second.LastCommitPosition;
+  return Session->second.LastCommitGroup == Request.Route.Group
+             ? Session->second.LastCommitPosition
+             : std::nullopt;
+}
+
+std::optional<log_position> requiredAtPrimary(const host &State,
+                                              const target_request &Request) {
+  const auto Group = State.Groups.find(Request.Route.Group);
+  if (Group == State.Groups.end() || !Group->second.Record ||
+      (Request.Writes && !Request.InTransaction))
+    return std::nullopt;
+  auto Required =
+      std::max(Group->second.PrimaryPosition, Request.ForwardedTarget.empty()
+                                                  ? std::nullopt
+                                                  : Request.ForwardedPosition);
+  const auto Session = State.Sessions.find(Request.Session);
+  if (Session != State.Sessions.end() &&
+      Session->second.LastCommitGroup == Request.Route.Group &&
+      Session->second.LastCommitGeneration == Group->second.Record->Generation)
+    Required = std::max(Required, Session->second.LastCommitPosition);
+  return Required;
 }
 
 bool mayReadReplica(const host &State, const target_request &Request,
@@ -132,8 +154,7 @@
     return false;
   const auto Session = State.Sessions.find(Request.Session);
   return Request.Route.Consistency == read_consistency::BoundedStaleness ||
-         Session == State.Sessions.end() ||
-         !Session->second.LastCommitPosition ||
+         Session == State.Sessions.end() || !sessionPosition(State, Request) ||
          Now >= Session->second.LastCommitAt + OwnWriteReplicationDelay;
 }
 
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -164,6 +164,7 @@
   if (!Group.Record || Group.Record->Generation != Parsed->Generation) {
     Group.Voters.clear();
     Group.QuorumUntil = {};
+    Group.PrimaryPosition.reset();
   }
   Group.Record = std::move(Parsed);
   Group.Revision = Record.Revision;
--- a/src/proxy/requests.cpp
+++ b/src/proxy/requests.cpp
@@ -12,6 +12,7 @@
 
 /// More attempts per statement would add to an overload.
 constexpr unsigned MaxAttempts = 4;
+/// After an attempt at a primary that is not primary, or that lacks a position.
 /// Doubles with each attempt; four attempts last as long as a host's start.
 constexpr duration NotPrimaryBackOff = std::chrono::milliseconds(30);
 /// A read is hedged after this many times the target's usual latency.
@@ -68,10 +69,15 @@
 }
 
 /// Records the position of a commit, which later reads of the session require.
-void recordCommitPosition(caller_session &Session, const answer &Answer,
+void recordCommitPosition(caller_session &Session,
+                          const target_request &Request, const answer &Answer,
                           instant Now) {
   if (!Answer.Position)
     return;
+  if (Session.LastCommitGroup != Request.Route.Group)
+    Session.LastCommitPosition.reset();
+  Session.LastCommitGroup = Request.Route.Group;
+  Session.LastCommitGeneration = Request.PrimaryGeneration;
   Session.LastCommitPosition =
       std::max(Session.LastCommitPosition, Answer.Position);
   Session.LastCommitAt = Now;
@@ -87,12 +93,12 @@
     Session->Transaction->LastUsedAt = Step.Now;
     if (Commits) {
       if (Session->Transaction->Wrote)
-        recordCommitPosition(*Session, Answer, Step.Now);
+        recordCommitPosition(*Session, Request, Answer, Step.Now);
       Session->Transaction.reset();
       Session->Phase = session_phase::Idle;
     }
   } else if (Session != nullptr && Request.Writes) {
-    recordCommitPosition(*Session, Answer, Step.Now);
+    recordCommitPosition(*Session, Request, Answer, Step.Now);
   }
   finishRequest(Step, Request, std::move(Answer));
 }
@@ -245,6 +251,14 @@
   const bool CanRepeat = NotRun || (!Request.InTransaction && !Request.Writes);
   const bool NothingRunBefore =
       !Request.InTransaction || isFirstOfTransaction(Session);
+  const bool LagsAtPrimary =
+      Code == answer_code::Lagging && Request.PrimaryGeneration != 0;
+  if (LagsAtPrimary)
+    logLine(Step, "primary.lagging",
+            {{"request", Request.Id},
+             {"group", Request.Route.Group},
+             {"generation", std::to_string(Request.PrimaryGeneration)},
+             {"required", positionText(Request.RequiredPosition)}});
   if (Session == nullptr) {
     releaseConnections(Step, Request);
     Step.State.Requests.erase(Request.Number);
@@ -264,8 +278,9 @@
       Session->Transaction->Connection = 0;
     }
     // The target or owner that refused has just lost the right to act as
-    // primary or is about to gain it.
-    if (Code == answer_code::ReadOnly)
+    // primary or is about to gain it. A primary that lacks a position may be
+    // about to be replaced.
+    if (Code == answer_code::ReadOnly || LagsAtPrimary)
       Request.RetryAt = Step.Now + NotPrimaryBackOff * (1U << Request.Attempts);
     enqueueRequest(Step, Request);
     return;
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -64,6 +64,8 @@
   /// Position of the session's last acknowledged commit.
   std::optional<log_position> LastCommitPosition;
   instant LastCommitAt{};
+  std::string LastCommitGroup; ///< Whose log LastCommitPosition belongs to.
+  std::uint64_t LastCommitGeneration = 0; ///< In which its primary was used.
   request_number Request = 0; ///< The unanswered statement's request, or 0.
   std::deque<queued_statement> Backlog; ///< Pipelined statements.
 };
@@ -236,6 +238,8 @@
   std::optional<group_record> Record;
   std::uint64_t Revision = 0; ///< Store revision of the record.
   freshness_samples Samples;
+  /// Highest position that the primary reported under the record's generation.
+  std::optional<log_position> PrimaryPosition;
   /// When a read last needed a sample to run on a replica.
   instant ReplicaReadAt{};
   instant PositionAskedAt{}; ///< Latest request for the primary's position.
