Adopt a shared position only under the generation that it was asked for in

Cause: a host adopted the answer to its request for the primary's position if the same target was primary. The record may have named another one in between, when the watch passes on only the latest change, and the position would now count as one of the present generation.

Change: a new generation ends the request; the host asks again.

Ruled out: a generation in the answer, as the asking host's request tells it already and the message stays as it is.

Result: "A position that was asked for under another generation is not adopted" failed against the unfixed code (Samples.Samples.empty() was false). test_proxy passes whole: 176 cases, 1040 assertions.

--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -165,6 +165,7 @@
     Group.Voters.clear();
     Group.QuorumUntil = {};
     Group.PrimaryPosition.reset();
+    Group.PositionAskedAt = {};
   }
   Group.Record = std::move(Parsed);
   Group.Revision = Record.Revision;
--- a/tests/proxy/copy_belief_tests.cpp
+++ b/tests/proxy/copy_belief_tests.cpp
@@ -192,6 +192,21 @@
   CHECK(Driver.Host->Groups.at(Group).Samples.Samples.empty());
 }
 
+TEST_CASE("A position that was asked for under another generation is not "
+          "adopted") {
+  // The watch passed on only the latest of three changes of the record.
+  host_driver Driver;
+  Driver.becomeReady();
+  assignOwners(Driver);
+  Driver.send(events::forward_requested{"#1", 5, replicaRead("b")});
+  const auto Requests = Driver.takeEffects<effects::request_position>();
+  REQUIRE(Requests.size() == 1);
+  Driver.writeGroupRecord("a", 5, true);
+  Driver.send(events::position_received{
+      {Group, "a", {1, 40}, 0ms, Requests.front().Request.AskedAt}});
+  CHECK(Driver.Host->Groups.at(Group).Samples.Samples.empty());
+}
+
 TEST_CASE("Positions of a replaced primary prove nothing of its successor") {
   host_driver Driver;
   Driver.becomeReady();
