Choose a read's required position when its setup has ended

Cause: the position that a replica must cover was chosen when the setup of values and templates began. A setup that took longer than the margin of 300 ms left the read with a position older than its route's bound.

Change: the position is chosen anew when the statement itself is sent, at a replica and at a primary. If none is young enough by then, the read is refused as lagging, not run, and is placed again.

Ruled out: a larger margin, as a setup may take until the statement's deadline. Transactions keep the position of their BEGIN, which is sent with the setup; their bound counts from there.

--- a/src/proxy/connections.cpp
+++ b/src/proxy/connections.cpp
@@ -162,6 +162,21 @@
                  {Position, Connection.SentAt, Step.Now});
 }
 
+/// Chooses the required position anew for a statement whose setup has ended, as
+/// the time that it took counts towards the route's bound.
+/// \returns False when no known position is young enough for a replica.
+bool renewRequiredPosition(const step_context &Step,
+                           const target_connection &Connection,
+                           target_request &Request) {
+  if (Request.InTransaction)
+    return true;
+  const bool OnReplica = Connection.PrimaryGeneration == 0;
+  Request.RequiredPosition =
+      OnReplica ? requiredReadPosition(Step.State, Request, Step.Now)
+                : requiredAtPrimary(Step.State, Request);
+  return !OnReplica || Request.RequiredPosition;
+}
+
 void handleSetupAnswer(step_context &Step, target_connection &Connection,
                        answer_code Code) {
   Connection.SetupAnswersLeft -= 1;
@@ -182,6 +197,9 @@
     Connection.SetupError = answer_code::ReadOnly;
     Connection.SetupIncomplete = true;
   }
+  if (HasCaller && Connection.SetupError == answer_code::Complete &&
+      !renewRequiredPosition(Step, Connection, *Request))
+    Connection.SetupError = answer_code::Lagging;
   if (HasCaller && Connection.SetupError == answer_code::Complete) {
     sendStatement(Step, Connection, *Request);
     return;
--- a/tests/proxy/copy_belief_tests.cpp
+++ b/tests/proxy/copy_belief_tests.cpp
@@ -154,6 +154,54 @@
   CHECK(isNotRun(Answers.front().Answer.Code));
 }
 
+TEST_CASE("A read whose setup outlasts its position is not run on a replica") {
+  // The position was chosen when the setup began, and covers too little then.
+  host_driver Driver;
+  Driver.becomeReady();
+  assignOwners(Driver);
+  Driver.send(events::forward_requested{"#1", 5, replicaRead("b")});
+  (void)takeOnlyAnswer(Driver);
+  sharePosition(Driver, {1, 40}, 100ms);
+  forwarded_statement Read = replicaRead("b");
+  Read.Values["v"] = "1";
+  Read.RemainingTime = 3s;
+  Driver.send(events::forward_requested{"#1", 6, Read});
+  const auto Setup = takeOnlySend(Driver);
+  Driver.Now += 1600ms;
+  Driver.grantLease(7);
+  Driver.send(events::target_answered{Setup.Connection,
+                                      host_driver::completedAnswer({1, 40})});
+  CHECK(Driver.takeEffects<effects::send_target>().empty());
+  CHECK(takeOnlyAnswer(Driver).Code == answer_code::Lagging);
+}
+
+TEST_CASE("A read whose setup takes a while requires a later position") {
+  host_driver Driver;
+  Driver.becomeReady();
+  assignOwners(Driver);
+  Driver.send(events::forward_requested{"#1", 5, replicaRead("b")});
+  (void)takeOnlyAnswer(Driver);
+  sharePosition(Driver, {1, 40}, 100ms);
+  forwarded_statement Read = replicaRead("b");
+  Read.Values["v"] = "1";
+  Read.RemainingTime = 3s;
+  Driver.send(events::forward_requested{"#1", 6, Read});
+  const auto Setup = takeOnlySend(Driver);
+  Driver.advanceTime(900ms);
+  Driver.grantLease(7);
+  const auto Requests = Driver.takeEffects<effects::request_position>();
+  REQUIRE_FALSE(Requests.empty());
+  Driver.send(events::position_received{
+      {Group, "a", {1, 60}, 0ms, Requests.back().Request.AskedAt}});
+  Driver.Now += 400ms;
+  Driver.send(events::target_answered{Setup.Connection,
+                                      host_driver::completedAnswer({1, 40})});
+  const auto Sent = Driver.takeEffects<effects::send_target>();
+  REQUIRE(Sent.size() == 1);
+  CHECK(Sent.front().Statements.front().RequiredPosition ==
+        log_position{1, 60});
+}
+
 TEST_CASE("A suspended owner does not tell a primary's position") {
   host_driver Driver;
   Driver.becomeReady();
