Order the old primary to lead after an order that may have been carried out

Cause: when the replica that was ordered to lead does not answer (it crashed or is cut off), the coordinator returned after some seconds to the old primary and opened the record for it on its own word. The platform may have carried the order out, and the old primary may not have reached its successor: it commits in a term that has ended, or answers as a replica whose log is behind.

Change: a promotion remembers that an order may have been carried out, also when it found the record closed. Then the old primary is ordered to lead itself, which changes nothing if it still leads, and the record is opened once the order must have been carried out.

Measured, test before the change: candidate_tests.cpp:243: FAILED: CHECK( promote(Driver, 8s, {{"a", primaryAt(90)}}) == "a" ), {?} == "a"; 244: FAILED: CHECK_FALSE( ...Record->Open ). After it: test_proxy passes, 159 test cases.

--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -303,11 +303,38 @@
       Step.Now + MaxOrderWait});
 }
 
+/// Whether an order may leave this host now.
+bool mayOrderNow(const step_context &Step, const group_state &Group) {
+  return isCoordinator(Step.State, Step.Now) &&
+         Step.Now >= Step.State.Coordinator.OrdersFrom &&
+         Step.Now >= Group.Promotion.OrderNotBefore;
+}
+
+/// Whether the old primary answers and lacks no acknowledged commit.
+bool canReturn(const step_context &Step, const std::string &Name,
+               const group_state &Group) {
+  const target_status *Old =
+      findIn(Group.Promotion.Statuses, Group.Record->Primary);
+  return Old != nullptr &&
+         (Old->IsPrimary ||
+          holdsAcknowledgedCommits(Step.State, Name, Group, *Old, Step.Now));
+}
+
 /// Probes the targets again, and returns to the old primary when no replica
-/// can be promoted in time.
+/// can be promoted in time. If a replica may lead that does not answer, the old
+/// primary is ordered to lead the next term: it may not know of the replica.
 void awaitReplica(step_context &Step, const std::string &Name,
                   group_state &Group, duration Timeout) {
-  if (Step.Now > Group.Promotion.StageSince + Timeout) {
+  const bool IsOver = Step.Now > Group.Promotion.StageSince + Timeout;
+  if (IsOver && Group.Promotion.MayBeCarriedOut) {
+    if (canReturn(Step, Name, Group) && mayOrderNow(Step, Group)) {
+      Group.NextPlannedChangeAt =
+          Step.Now + MaxPromotionTime + PlannedRetryDelay;
+      orderPromotion(Step, Name, Group, std::string(Group.Record->Primary));
+    } else if (Step.Now >= Group.Promotion.NextTryAt) {
+      probeMembers(Step, Name, Group);
+    }
+  } else if (IsOver) {
     logLine(
         Step, "promotion.no_candidate",
         {{"group", Name},
@@ -358,23 +385,25 @@
                  OldAnswers ? CatchUpTimeout : NoReplicaTimeout);
     return;
   }
-  if (!isCoordinator(Step.State, Step.Now) ||
-      Step.Now < Step.State.Coordinator.OrdersFrom ||
-      Step.Now < Promotion.OrderNotBefore)
-    return;
-  orderPromotion(Step, Name, Group, Best->first);
+  if (mayOrderNow(Step, Group))
+    orderPromotion(Step, Name, Group, Best->first);
 }
 
 void awaitPromotion(step_context &Step, const std::string &Name,
                     group_state &Group) {
   promotion_state &Promotion = Group.Promotion;
   const target_status *Status = findIn(Promotion.Statuses, Promotion.Candidate);
+  // The old primary may call itself primary before the order is carried out.
+  const duration LeadsAfter = Promotion.Candidate == Group.Record->Primary
+                                  ? MaxPromotionTime
+                                  : MinPromotionTime;
   if (Status != nullptr && Status->IsPrimary &&
-      Step.Now >= Promotion.StageSince + MinPromotionTime) {
+      Step.Now >= Promotion.StageSince + LeadsAfter) {
     openRecord(Step, Name, Group, Promotion.Candidate);
     return;
   }
   if (Step.Now > Promotion.StageSince + MaxPromotionTime) {
+    Promotion.MayBeCarriedOut = true;
     enterStage(Step, Name, Group, promotion_stage::Choosing);
     probeMembers(Step, Name, Group);
     return;
@@ -415,6 +444,7 @@
   // ordered, and the primary may be used again.
   Group.Promotion = {};
   Group.Promotion.ReplacesElectors = Group.Record->PrimaryStays;
+  Group.Promotion.MayBeCarriedOut = !Group.Record->PrimaryStays;
   Group.Promotion.StartedAt = Step.Now;
   Group.Promotion.OrderNotBefore = revokedLeasesEnd(Step.State);
   closeRecord(Step, Name, Group);
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -210,6 +210,9 @@
   /// leases that the previous coordinator revoked.
   instant OrderNotBefore{};
   std::map<std::string, target_status> Statuses;
+  /// A replica may lead, as an order may have been carried out since the record
+  /// was closed. The old primary is then not used again on its own word.
+  bool MayBeCarriedOut = false;
   /// Replicas that do not run, as the platform told.
   std::set<std::string> RefusedCandidates;
   std::string Candidate;
--- a/tests/proxy/candidate_tests.cpp
+++ b/tests/proxy/candidate_tests.cpp
@@ -229,3 +229,22 @@
   CHECK(promote(Driver, 1s, {{"a", primaryAt(95)}, {"c", replicaAt(90)}}) ==
         "c");
 }
+
+TEST_CASE("The old primary is not used again after an order that may have been "
+          "carried out") {
+  // The replica that leads since the order may be cut off from the others.
+  host_driver Driver;
+  becomeCoordinator(Driver);
+  listTargets(Driver, {"a", "b"}, {"a"});
+  REQUIRE(promote(Driver, 1s, {{"a", primaryAt(90)}, {"b", replicaAt(90)}}) ==
+          "b");
+  Driver.send(events::promotion_answered{Group, lastOrder(Driver),
+                                         order_outcome::Accepted});
+  CHECK(promote(Driver, 8s, {{"a", primaryAt(90)}}) == "a");
+  CHECK_FALSE(Driver.Host->Groups.at(Group).Record->Open);
+  Driver.send(events::promotion_answered{Group, lastOrder(Driver),
+                                         order_outcome::Accepted});
+  CHECK_FALSE(promote(Driver, 4s, {{"a", primaryAt(90)}}));
+  CHECK(Driver.Host->Groups.at(Group).Record->Open);
+  CHECK(Driver.Host->Groups.at(Group).Record->Primary == "a");
+}
