Keep the position that replicas need when a primary reports a lower one

Cause: the position that a read of bounded staleness requires is that of the oldest sample within its bound. A primary that restarted behind its log reports less than it had, and with that sample a replica needed less than what had been acknowledged.

Change: the required position is not lower than that of any earlier sample of the primary.

Ruled out: to drop the lower sample, which would leave no sample in the bound and send all reads to that primary.

--- a/include/bronzespar/proxy/freshness.hpp
+++ b/include/bronzespar/proxy/freshness.hpp
@@ -38,6 +38,8 @@
                                      const position_sample &Sample) noexcept;
 
 /// \brief Finds the lowest position that a read at Now must cover.
+/// \remarks Not lower than that of any earlier sample: a primary that restarted
+/// behind its log reports less than what was acknowledged.
 /// \param MaxAge Only writes younger than this may be missing.
 /// \returns Nothing when no sample is recent enough to prove the bound.
 [[nodiscard]] std::optional<position_sample>
--- a/src/proxy/freshness.cpp
+++ b/src/proxy/freshness.cpp
@@ -33,7 +33,10 @@
                    });
   if (Found == Samples.Samples.end())
     return std::nullopt;
-  return *Found;
+  position_sample Result = *Found;
+  for (auto Earlier = Samples.Samples.begin(); Earlier != Found; ++Earlier)
+    Result.Position = std::max(Result.Position, Earlier->Position);
+  return Result;
 }
 
 } // namespace bronzespar::proxy
--- a/tests/proxy/copy_belief_tests.cpp
+++ b/tests/proxy/copy_belief_tests.cpp
@@ -154,6 +154,22 @@
   CHECK(isNotRun(Answers.front().Answer.Code));
 }
 
+TEST_CASE("A lower position of a primary does not lower what replicas need") {
+  // A primary that restarts behind its log answers with a lower position.
+  host_driver Driver;
+  Driver.becomeReady();
+  primaryReports(Driver, {1, 40});
+  Driver.advanceTime(100ms);
+  primaryReports(Driver, {1, 4});
+  Driver.advanceTime(1200ms);
+  Driver.grantLease(7);
+  target_request Read;
+  Read.Route = Driver.Host->Settings->Routes.at("own");
+  Read.Route.MaxStaleness = 1550ms;
+  const auto Found = requiredReadPosition(*Driver.Host, Read, Driver.Now);
+  CHECK(Found == log_position{1, 40});
+}
+
 TEST_CASE("A read whose setup outlasts its position is not run on a replica") {
   // The position was chosen when the setup began, and covers too little then.
   host_driver Driver;
