Keep a session at the primary after a commit that showed no position

Cause: a commit whose answer carried no position left no trace in its session. The next reads of a read-your-writes route went to replicas that may lack the commit.

Change: the session remembers that its last commit has no known position. Its reads use the primary until a commit shows one.

Ruled out: the position of a later answer on the session, as reads on replicas show none of the primary.

--- a/src/proxy/positions.cpp
+++ b/src/proxy/positions.cpp
@@ -153,8 +153,11 @@
       Request.Route.Consistency == read_consistency::Primary)
     return false;
   const auto Session = State.Sessions.find(Request.Session);
-  return Request.Route.Consistency == read_consistency::BoundedStaleness ||
-         Session == State.Sessions.end() || !sessionPosition(State, Request) ||
+  if (Request.Route.Consistency == read_consistency::BoundedStaleness ||
+      Session == State.Sessions.end() ||
+      Session->second.LastCommitGroup != Request.Route.Group)
+    return true;
+  return !Session->second.CommitLacksPosition &&
          Now >= Session->second.LastCommitAt + OwnWriteReplicationDelay;
 }
 
--- a/src/proxy/requests.cpp
+++ b/src/proxy/requests.cpp
@@ -72,12 +72,11 @@
 void recordCommitPosition(caller_session &Session,
                           const target_request &Request, const answer &Answer,
                           instant Now) {
-  if (!Answer.Position)
-    return;
   if (Session.LastCommitGroup != Request.Route.Group)
     Session.LastCommitPosition.reset();
   Session.LastCommitGroup = Request.Route.Group;
   Session.LastCommitGeneration = Request.PrimaryGeneration;
+  Session.CommitLacksPosition = !Answer.Position;
   Session.LastCommitPosition =
       std::max(Session.LastCommitPosition, Answer.Position);
   Session.LastCommitAt = Now;
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -65,6 +65,9 @@
   std::optional<log_position> LastCommitPosition;
   instant LastCommitAt{};
   std::string LastCommitGroup; ///< Whose log LastCommitPosition belongs to.
+  /// The last acknowledged commit showed no position, so that only the primary
+  /// is known to have it.
+  bool CommitLacksPosition = false;
   std::uint64_t LastCommitGeneration = 0; ///< In which its primary was used.
   request_number Request = 0; ///< The unanswered statement's request, or 0.
   std::deque<queued_statement> Backlog; ///< Pipelined statements.
--- a/tests/proxy/copy_belief_tests.cpp
+++ b/tests/proxy/copy_belief_tests.cpp
@@ -415,3 +415,18 @@
   for (const auto &Sent : Driver.takeEffects<effects::send_target>())
     CHECK(Driver.Host->Connections.at(Sent.Connection).Target == "b");
 }
+
+TEST_CASE("A session whose commit has no known position reads at the primary") {
+  host_driver Driver;
+  Driver.becomeReady();
+  const session_number Session = Driver.openSession("own");
+  Driver.sendStatement(Session, "w1", statement_kind::Write, "WRITE 1 x");
+  answer Answer = host_driver::completedAnswer({1, 40});
+  Answer.Position.reset();
+  Driver.send(events::target_answered{takeOnlySend(Driver).Connection, Answer});
+  Driver.advanceTime(600ms);
+  target_request Read;
+  Read.Session = Session;
+  Read.Route = Driver.Host->Settings->Routes.at("own");
+  CHECK_FALSE(mayReadReplica(*Driver.Host, Read, Driver.Now));
+}
