Record a revocation in the store before the lease is revoked

Cause: only the coordinator that revoked a lease knew of that. Its successor took the late end of the lease for one that the host had let lapse, and gave an order at once.

Change: the coordinator first marks the host's record, by a change that expects its own token and the record's revision and is bound to that lease, and revokes the lease once the mark is stored. Whoever sees a marked record removed waits for the length of a lease before it orders; a host that finds its record marked gives up its lease. A coordinator whose watch has not reached its token waits after each removal, as that may hide a mark. This replaces the list of leases that a coordinator has revoked.

Ruled out: deleting the record instead of revoking the lease. A host whose watch is silent and whose renewals pass would use the primary for longer than a lease after that. Waiting after each removal: a data centre that is cut off would be replaced 1.6 s later.

Tests: two cases of handover_tests and promotion_tests now cover the mark as well: "An order waits for the length of a lease that was revoked late" stores it, and "A host that registers during a promotion gets time" checks that there is none.

--- a/src/proxy/coordinator.cpp
+++ b/src/proxy/coordinator.cpp
@@ -75,13 +75,15 @@
          Now + OrderLeaseMargin < State.Lease.ValidUntil;
 }
 
-void hostLeaseEnded(step_context &Step, const std::string &Host,
-                    std::uint64_t Lease) {
+void hostLeaseEnded(step_context &Step, const listed_peer &Peer) {
+  const host &State = Step.State;
   coordinator_state &Role = Step.State.Coordinator;
-  const auto Revoked = Role.RevokedLeases.find(Host);
-  if (Revoked == Role.RevokedLeases.end() || Revoked->second != Lease)
+  // Marks of earlier coordinators are older than this one's token.
+  const bool MayHideMark =
+      Role.IsHeld && std::max(State.WatchedRevision, State.HostsReadRevision) <
+                         Role.FencingToken;
+  if (!Peer.Record.Revoked && !MayHideMark)
     return;
-  Role.RevokedLeases.erase(Revoked);
   Role.OrdersFrom =
       std::max(Role.OrdersFrom, Step.Now + Step.State.Lease.TimeToLive);
 }
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -1,6 +1,7 @@
 /// Dispatch of events to the parts of a session host, and its periodic tasks.
 #include "parts.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace bronzespar::proxy {
@@ -41,6 +42,11 @@
   superviseStop(Step);
 }
 
+void noteWatched(step_context &Step, std::uint64_t Revision) {
+  std::uint64_t &Watched = Step.State.WatchedRevision;
+  Watched = std::max(Watched, Revision);
+}
+
 struct event_handler {
   step_context &Step;
 
@@ -76,8 +82,12 @@
   }
   void operator()(events::record_changed &Event) {
     recordChanged(Step, Event.Record);
+    noteWatched(Step, Event.Record.Revision);
+  }
+  void operator()(events::record_removed &Event) {
+    recordRemoved(Step, Event);
+    noteWatched(Step, Event.Revision);
   }
-  void operator()(events::record_removed &Event) { recordRemoved(Step, Event); }
   void operator()(events::records_read &Event) { recordsRead(Step, Event); }
   void operator()(events::change_ended &Event) { changeEnded(Step, Event); }
   void operator()(events::lease_answered &Event) { leaseAnswered(Step, Event); }
--- a/src/proxy/host_list.cpp
+++ b/src/proxy/host_list.cpp
@@ -96,9 +96,15 @@
 
 /// Registers the host again when its own record is not the one that it wrote: a
 /// change whose answer was lost may have overwritten a later one. One of an
-/// earlier process, bound to another lease, voids the registration.
-void compareOwnRecord(step_context &Step, const store_record &Record) {
+/// earlier process, bound to another lease, voids the registration, and so does
+/// a coordinator's mark.
+void compareOwnRecord(step_context &Step, const store_record &Record,
+                      bool Revoked) {
   lease_state &Lease = Step.State.Lease;
+  if (Revoked && Lease.Id != 0 && Record.Lease == Lease.Id) {
+    loseLease(Step);
+    return;
+  }
   if (Lease.RegisteredValue.empty() ||
       Record.Revision <= Lease.RegisteredRevision)
     return;
@@ -127,7 +133,7 @@
   if (Record.Revision <= knownRevision(State, Name))
     return;
   if (Name == State.Identity.Name)
-    compareOwnRecord(Step, Record);
+    compareOwnRecord(Step, Record, Parsed->Revoked);
   const auto Known = State.Hosts.find(Name);
   if (Known == State.Hosts.end() || isMoved(Known->second.Record, *Parsed))
     State.HostsVersion += 1;
@@ -160,7 +166,7 @@
   const auto Removed = State.Hosts.find(Name);
   if (Removed == State.Hosts.end())
     return;
-  hostLeaseEnded(Step, Name, Removed->second.Lease);
+  hostLeaseEnded(Step, Removed->second);
   if (!Removed->second.Record.Leaving)
     State.ExpiredHosts[Name] = {Step.Now, Removed->second.Record.DataCentre};
   State.Hosts.erase(Removed);
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -263,10 +263,10 @@
 /// \param Revision Store revision of the removal of the role's key.
 void coordinatorRemoved(step_context &Step, std::uint64_t Revision);
 /// \brief Notes that a host's record was removed with its lease.
-/// \remarks A lease that was revoked may still be valid by its host's clock. A
-/// host that has registered under another one has given it up.
-void hostLeaseEnded(step_context &Step, const std::string &Host,
-                    std::uint64_t Lease);
+/// \remarks A lease that was revoked may still be valid by its host's clock, so
+/// that no order is given for the length of a lease. A host that has registered
+/// under another one has given it up.
+void hostLeaseEnded(step_context &Step, const listed_peer &Peer);
 void superviseCoordinatorRole(step_context &Step);
 /// \brief Removes the role's key, if this host owns it, so that another host
 /// can claim the role without waiting for the end of the lease.
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -111,13 +111,17 @@
                    [Key = ownKey(Step.State)](const store_record &Record) {
                      return Record.Key == Key;
                    });
-  if (Standing != Current.end() && Standing->Lease == Lease.Id) {
+  const auto Parsed = Standing == Current.end()
+                          ? std::nullopt
+                          : parseHostRecord(Standing->Value);
+  const bool Revoked = Parsed && Parsed->Revoked;
+  if (Standing != Current.end() && Standing->Lease == Lease.Id && !Revoked) {
     registrationStored(Step, Standing->Value, Standing->Revision);
     return;
   }
   Own.Revision = Standing == Current.end() ? 0 : Standing->Revision;
   Own.AsOf = std::max(Own.AsOf, Own.Revision);
-  if (!Lease.RegisteredValue.empty())
+  if (!Lease.RegisteredValue.empty() || Revoked)
     loseLease(Step);
 }
 
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -244,6 +244,49 @@
                 chooseElectors(Step.State, Step.Now), false, Term});
 }
 
+/// Has the store end the lease of a host that does not acknowledge. The host's
+/// record shows that first: the store may end the lease under the next
+/// coordinator, which waits because of it.
+void revokeLease(step_context &Step, const std::string &Host,
+                 const listed_peer &Peer) {
+  coordinator_state &Role = Step.State.Coordinator;
+  if (Peer.Record.Revoked) {
+    Step.Out.push_back(effects::revoke_lease{Peer.Lease});
+    return;
+  }
+  const std::string Key = std::string(HostsPrefix) + Host;
+  for (const auto &[Call, Mark] : Role.PendingMarks)
+    if (Mark.Key == Key)
+      return;
+  host_record Marked = Peer.Record;
+  Marked.Revoked = true;
+  effects::change_records Change;
+  Change.Call = nextNumber(Step.State);
+  Change.Lease = Peer.Lease;
+  Change.Expected.emplace_back(Key, Peer.Revision);
+  Change.Expected.emplace_back(std::string(CoordinatorKey), Role.FencingToken);
+  Change.Writes.push_back({Key, formatRecord(Marked), true});
+  Role.PendingMarks[Change.Call] = {Key, Change.Writes.front().Value, 0,
+                                    Peer.Lease};
+  Step.Out.push_back(std::move(Change));
+}
+
+/// \returns Whether the change marks a host's record.
+bool markEnded(step_context &Step, const events::change_ended &Event) {
+  auto Pending = Step.State.Coordinator.PendingMarks.extract(Event.Call);
+  if (Pending.empty())
+    return false;
+  store_record &Mark = Pending.mapped();
+  if (Event.Outcome != change_outcome::Done) {
+    logUnconfirmedChange(Step, Mark.Key, Event);
+    return true;
+  }
+  Mark.Revision = Event.Revision;
+  recordChanged(Step, Mark);
+  Step.Out.push_back(effects::revoke_lease{Mark.Lease});
+  return true;
+}
+
 /// Waits until no host can use the old primary.
 void awaitAcknowledgements(step_context &Step, const std::string &Name,
                            group_state &Group) {
@@ -265,8 +308,7 @@
       continue;
     // The host may register again under another lease.
     Since = Step.Now;
-    Step.Out.push_back(effects::revoke_lease{Peer.Lease});
-    Step.State.Coordinator.RevokedLeases[Host] = Peer.Lease;
+    revokeLease(Step, Host, Peer);
     logLine(Step, "promotion.holdout", {{"group", Name}, {"host", Host}});
   }
   if (!AllStopped || Step.Now < Step.State.Coordinator.OrdersFrom)
@@ -513,6 +555,8 @@
 
 bool promotionChangeEnded(step_context &Step,
                           const events::change_ended &Event) {
+  if (markEnded(Step, Event))
+    return true;
   for (auto &[Name, Group] : Step.State.Groups) {
     promotion_state &Promotion = Group.Promotion;
     if (Event.Call == 0 || Promotion.ChangeCall != Event.Call)
--- a/src/proxy/records.cpp
+++ b/src/proxy/records.cpp
@@ -61,6 +61,8 @@
                       {"acknowledged", Acknowledged},
                       {"leaving", Record.Leaving},
                       {"blind", toObject(Record.UnreachablePrimaries)}};
+  if (Record.Revoked)
+    Object["revoked"] = true;
   if (Record.LinkMbps > 0)
     Object["link_mbps"] = Record.LinkMbps;
   if (!Record.SuspectedPrimaries.empty())
@@ -105,6 +107,9 @@
   if (const json::value *Leaving = Object->if_contains("leaving");
       Leaving != nullptr && Leaving->is_bool())
     Record.Leaving = Leaving->as_bool();
+  if (const json::value *Revoked = Object->if_contains("revoked");
+      Revoked != nullptr && Revoked->is_bool())
+    Record.Revoked = Revoked->as_bool();
   if (const json::value *DataCentre = Object->if_contains("data_centre");
       DataCentre != nullptr && DataCentre->is_string())
     Record.DataCentre = std::string_view(DataCentre->as_string());
--- a/src/proxy/records.hpp
+++ b/src/proxy/records.hpp
@@ -44,6 +44,8 @@
   std::map<std::string, std::string> UnreachablePrimaries;
   /// Primaries whose connection owner does not answer the host, by group.
   std::map<std::string, std::string> SuspectedPrimaries;
+  /// Written by a coordinator before it has the store end the record's lease.
+  bool Revoked = false;
 };
 
 /// \brief Whether the host stopped using the group's primary for this closed
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -323,8 +323,8 @@
   /// Orders of the previous coordinator have arrived by then, and leases that
   /// this host revoked have ended on their hosts' clocks.
   instant OrdersFrom{};
-  /// Leases that this host asked the store to end, by the name of their host.
-  std::map<std::string, std::uint64_t> RevokedLeases;
+  /// Records of hosts as this host's pending changes mark them as revoked.
+  std::map<call_number, store_record> PendingMarks;
   call_number ClaimCall = 0;
   std::uint64_t ClaimLease = 0; ///< Lease of the pending claim.
   call_number ReturnCall = 0;   ///< Pending removal of the own key.
@@ -377,6 +377,8 @@
   std::map<std::string, host_removal> HostRemovals;
   /// Highest revision at which Hosts was read as a whole.
   std::uint64_t HostsReadRevision = 0;
+  /// Highest revision of a record that a watch has shown.
+  std::uint64_t WatchedRevision = 0;
   std::map<std::string, expired_host> ExpiredHosts;
   waiting_queue Waiting;
   std::map<forward_origin, session_number> ForwardSessions;
--- a/tests/proxy/handover_tests.cpp
+++ b/tests/proxy/handover_tests.cpp
@@ -3,6 +3,8 @@
 
 #include <proxy/parts.hpp>
 
+#include <algorithm>
+
 using namespace session_test;
 
 namespace {
@@ -161,18 +163,40 @@
 struct silent_host {
   host_driver Driver;
   bool IsListed = true;
+  std::optional<effects::change_records> LastMark;
+  bool IsMarked = false; ///< Its record shows that its lease is revoked.
 
   silent_host() {
     becomeCoordinator(Driver);
     reportUnreachable(Driver, "host-2", "a");
   }
 
+  /// Removes the change that marks the host's record, if there is one.
+  std::optional<effects::change_records> takeMark() {
+    std::optional<effects::change_records> Mark;
+    for (auto &Change : Driver.takeEffects<effects::change_records>()) {
+      if (!Change.Writes.empty() && Change.Writes.front().Key == "hosts/host-2")
+        Mark = std::move(Change);
+      else
+        Driver.Effects.emplace_back(std::move(Change));
+    }
+    return Mark;
+  }
+
+  void storeMark() {
+    REQUIRE(LastMark);
+    IsMarked = true;
+    Driver.send(events::change_ended{LastMark->Call, change_outcome::Done,
+                                     ++Driver.Revision});
+  }
+
   void answerHostsReads() {
     host_record Own;
     Own.PeerEndpoint = {"10.0.0.1", 7560};
     Own.AcknowledgedClosures[Group] = 100;
     host_record Other;
     Other.PeerEndpoint = {"10.0.0.2", 7560};
+    Other.Revoked = IsMarked;
     for (const auto &Read : Driver.takeEffects<effects::read_records>()) {
       events::records_read Answer{Read.Call, Read.Prefix, {}, true, 0};
       Answer.Records.push_back(
@@ -191,6 +215,8 @@
     while (Driver.Now < End) {
       Driver.grantLease(7);
       Driver.advanceTime(20ms);
+      if (const auto Mark = takeMark())
+        LastMark = Mark;
       storeGroupRecords(Driver);
       answerHostsReads();
       answerProbes(Driver, BeforePromotion);
@@ -212,6 +238,7 @@
   // ended the lease seconds later.
   silent_host Silent;
   CHECK_FALSE(Silent.goOn(2700ms));
+  Silent.storeMark();
   REQUIRE_FALSE(Silent.Driver.takeEffects<effects::revoke_lease>().empty());
   CHECK_FALSE(Silent.goOn(2200ms));
   Silent.removeHost();
@@ -252,3 +279,66 @@
   REQUIRE(Ordered);
   CHECK(Driver.Now >= Removed + 2000ms);
 }
+
+TEST_CASE("A lease is revoked only once its host's record shows that") {
+  // Guards against a successor that takes a lease which its predecessor revoked
+  // for one that ended by itself.
+  silent_host Silent;
+  CHECK_FALSE(Silent.goOn(2700ms));
+  CHECK(Silent.Driver.takeEffects<effects::revoke_lease>().empty());
+  REQUIRE(Silent.LastMark);
+  const auto Record = parseHostRecord(Silent.LastMark->Writes.front().Value);
+  REQUIRE(Record);
+  CHECK(Record->Revoked);
+  CHECK(Silent.LastMark->Writes.front().BoundToLease);
+  CHECK(Silent.LastMark->Lease == 8);
+  const auto &Expected = Silent.LastMark->Expected;
+  CHECK(Expected.size() == 2);
+  CHECK(std::find(Expected.begin(), Expected.end(),
+                  std::pair(std::string(CoordinatorKey),
+                            Silent.Driver.Host->Coordinator.FencingToken)) !=
+        Expected.end());
+  Silent.storeMark();
+  CHECK(Silent.Driver.takeEffects<effects::revoke_lease>().size() == 1);
+}
+
+TEST_CASE("A revocation that the store makes under the next coordinator delays "
+          "its orders") {
+  silent_host Silent;
+  Silent.IsMarked = true;
+  host_record Marked;
+  Marked.PeerEndpoint = {"10.0.0.2", 7560};
+  Marked.Revoked = true;
+  Marked.UnreachablePrimaries[Group] = "a";
+  Silent.Driver.send(events::record_changed{
+      {"hosts/host-2", formatRecord(Marked), ++Silent.Driver.Revision, 8}});
+  CHECK_FALSE(Silent.goOn(1000ms));
+  Silent.removeHost();
+  CHECK_FALSE(Silent.goOn(1900ms));
+  CHECK(Silent.goOn(400ms));
+}
+
+TEST_CASE("A removal that may hide a revocation delays a new coordinator's "
+          "orders") {
+  // Its watch had not shown what the store held as it took the role.
+  silent_host Silent;
+  Silent.Driver.Host->WatchedRevision = 0;
+  Silent.Driver.Host->HostsReadRevision = 0;
+  Silent.removeHost();
+  reportUnreachable(Silent.Driver, "host-1", "a");
+  CHECK_FALSE(Silent.goOn(1900ms));
+  CHECK(Silent.goOn(400ms));
+}
+
+TEST_CASE("A host whose lease is being revoked gives it up") {
+  // Also when its own registration was not confirmed.
+  host_driver Driver;
+  Driver.becomeReady();
+  host_record Own;
+  Own.PeerEndpoint = {"10.0.0.1", 7560};
+  Own.DataCentre = "suva";
+  Own.Revoked = true;
+  Driver.send(events::record_changed{
+      {"hosts/host-1", formatRecord(Own), ++Driver.Revision, 7}});
+  CHECK_FALSE(hasValidLease(*Driver.Host, Driver.Now));
+}
--- a/tests/proxy/promotion_tests.cpp
+++ b/tests/proxy/promotion_tests.cpp
@@ -110,6 +110,8 @@
       {"hosts/host-3", formatRecord(Returned), ++Driver.Revision, 9}});
   Driver.advanceTime(1000ms);
   CHECK(Driver.takeEffects<effects::revoke_lease>().empty());
+  for (const auto &Change : Driver.takeEffects<effects::change_records>())
+    CHECK(Change.Writes.front().Key != "hosts/host-3");
 }
 
 TEST_CASE("A primary of an earlier term is not taken for a promoted replica") {
--- a/tests/proxy/unconfirmed_change_tests.cpp
+++ b/tests/proxy/unconfirmed_change_tests.cpp
@@ -376,16 +376,22 @@
           "lease") {
   // Guards against a host that uses primaries, while no coordinator waits for
   // it, until its watch tells that its record is gone.
-  const bool IsRemoved = GENERATE(true, false);
+  const auto [IsRemoved, Lease, IsRevoked] =
+      GENERATE(table<bool, std::uint64_t, bool>(
+          {{true, 0, false}, {false, 6, false}, {false, 7, true}}));
   host_driver Driver;
   const auto Change = changeRegistration(Driver);
   REQUIRE(hasValidLease(*Driver.Host, Driver.Now));
+  host_record Standing;
+  Standing.PeerEndpoint = {"10.0.0.1", 7560};
+  Standing.DataCentre = "suva";
+  Standing.Revoked = IsRevoked;
   if (IsRemoved)
     refuse(Driver, Change, std::nullopt);
   else
     refuse(Driver, Change,
-           store_record{"hosts/host-1", Change.Writes.front().Value,
-                        ++Driver.Revision, 6});
+           store_record{"hosts/host-1", formatRecord(Standing),
+                        ++Driver.Revision, Lease});
   CHECK_FALSE(hasValidLease(*Driver.Host, Driver.Now));
 }
 
