Simulate the reads and writes of a fleet whose targets have logs

Change: simulated_targets gives each target a log: replicas receive and apply late, are deaf, slow or restart with a part of their log, primaries crash, and a promotion rolls back what the new primary lacks. simulated_reads adds callers on routes of each kind, single and in transactions, connections that keep order and break, and messages between hosts, with owners and without; it checks STALE, ONE, TWICE and MIXED of the users' rules. The fleet's clock now goes from event to event, its events keep the order of their sockets, and a watch may lag or be silent. Stores may be down and lease answers late.

--- a/tests/proxy/simulated_fleet.cpp
+++ b/tests/proxy/simulated_fleet.cpp
@@ -10,13 +10,24 @@
 
 constexpr duration Tick = 20ms;
 constexpr duration CallTimeout = 1500ms;
-constexpr duration PromotionTime = 1s;
+constexpr duration MaxAnswerTime = 1200ms;
+/// Events that wait for a suspended host reach it within this time, in an order
+/// that differs between sockets.
+constexpr duration ResumptionTime = 60ms;
 constexpr duration LeaseLength = 1600ms;
 
 } // namespace
 
-simulated_fleet::simulated_fleet(unsigned Seed, std::size_t HostCount)
-    : Random(Seed) {
+proxy_settings fleetSettings() {
+  proxy_settings Settings;
+  Settings.Version = 1;
+  Settings.Groups[Group] = {16};
+  return Settings;
+}
+
+simulated_fleet::simulated_fleet(unsigned Seed, std::size_t HostCount,
+                                 proxy_settings InForce)
+    : Random(Seed), Settings(std::move(InForce)) {
   for (std::size_t Index = 1; Index <= HostCount; ++Index)
     startHost("host-" + std::to_string(Index));
 }
@@ -25,13 +36,10 @@
   host_identity Identity;
   Identity.Name = Name;
   Identity.DataCentre = "suva";
-  Identity.PeerEndpoint = {"10.0.0.1", 7560};
+  Identity.PeerEndpoint = {"10.0.0." + Name.substr(Name.find('-') + 1), 7560};
   simulated_host &Started = Hosts[Name] = {};
   Started.Host = makeHost(Identity);
   Started.Process = ++LastProcess;
-  proxy_settings Settings;
-  Settings.Version = 1;
-  Settings.Groups[Group] = {16};
   send(Name, events::store_reachability_changed{true});
   send(Name, events::settings_changed{Settings});
   send(Name, events::targets_listed{entries()});
@@ -56,24 +64,53 @@
   for (const std::string Id : {"a", "b", "c"}) {
     Entries.push_back(host_driver::makeEntry(Id, Id == Leader));
     Entries.back().Draining = Draining.contains(Id);
+    if (const auto Birth = Births.find(Id); Birth != Births.end())
+      Entries.back().StartedAt = Birth->second;
+    if (Absent.contains(Id))
+      Entries.pop_back();
   }
   return Entries;
 }
 
 void simulated_fleet::listTargets(const std::set<std::string> &NowDraining) {
   Draining = NowDraining;
-  broadcast(events::targets_listed{entries()});
+  announceTargets();
+}
+
+void simulated_fleet::announceTargets() {
+  if (!isStoreDown())
+    broadcast(events::targets_listed{entries()});
+}
+
+void simulated_fleet::interruptStore(duration Span, bool LeasesPauseMeanwhile) {
+  StoreDownUntil = Now + Span;
+  LeasesPause = LeasesPauseMeanwhile;
+  if (LeasesPause)
+    for (auto &[Lease, Until] : Leases)
+      Until += Span;
+  for (const auto &[Name, Simulated] : Hosts) {
+    sendLater(Name, CallTimeout, events::store_reachability_changed{false},
+              "store");
+    sendLater(Name, Span, events::store_reachability_changed{true}, "store");
+  }
+  Scheduled.emplace(Now + Span + Tick, [this] { announceTargets(); });
+}
+
+duration simulated_fleet::drawSpan(duration Least, duration Most) {
+  return Least + duration(static_cast<duration::rep>(
+                     draw() * static_cast<double>((Most - Least).count())));
 }
 
 void simulated_fleet::advanceTime(duration Span) {
   const instant End = Now + Span;
   while (Now < End) {
-    Now += Tick;
-    runScheduled();
+    const instant Next = Now + Tick;
+    runScheduled(Next);
+    Now = Next;
     endLeases();
     for (auto &[Name, Simulated] : Hosts)
       if (Now >= Simulated.SuspendedUntil)
-        send(Name, events::tick{});
+        send(Name, events::tick{}, "tick");
     checkRules();
   }
 }
@@ -86,16 +123,8 @@
   return Record && Record->Open && Record->Primary == Leader;
 }
 
-void simulated_fleet::send(const std::string &Name, event Event) {
+void simulated_fleet::deliver(const std::string &Name, event Event) {
   simulated_host &Simulated = Hosts.at(Name);
-  if (Now < Simulated.SuspendedUntil) {
-    Scheduled.emplace(Simulated.SuspendedUntil,
-                      [this, Name, Process = Simulated.Process, Event] {
-                        if (Hosts.at(Name).Process == Process)
-                          send(Name, Event);
-                      });
-    return;
-  }
   step(*Simulated.Host, std::move(Event), Now, Simulated.Effects);
   effect_list Effects;
   Effects.swap(Simulated.Effects);
@@ -103,6 +132,35 @@
     carryOut(Name, Effect);
 }
 
+void simulated_fleet::send(const std::string &Name, event Event,
+                           const std::string &Socket) {
+  simulated_host &Simulated = Hosts.at(Name);
+  instant &Latest = Simulated.Sockets[Socket];
+  if (Now >= Simulated.SuspendedUntil && Now >= Latest) {
+    deliver(Name, std::move(Event));
+    return;
+  }
+  if (Latest < Simulated.SuspendedUntil)
+    Latest = Simulated.SuspendedUntil + drawSpan(0ms, ResumptionTime);
+  Scheduled.emplace(Latest, [this, Name, Process = Simulated.Process, Socket,
+                             Event = std::move(Event)] {
+    if (Hosts.at(Name).Process == Process)
+      send(Name, Event, Socket);
+  });
+}
+
+void simulated_fleet::sendLater(const std::string &Name, duration Delay,
+                                event Event, const std::string &Socket) {
+  simulated_host &Simulated = Hosts.at(Name);
+  instant &Latest = Simulated.Sockets[Socket];
+  Latest = std::max(Latest, Now + Delay);
+  Scheduled.emplace(Latest, [this, Name, Process = Simulated.Process, Socket,
+                             Event = std::move(Event)] {
+    if (Hosts.at(Name).Process == Process)
+      send(Name, Event, Socket);
+  });
+}
+
 void simulated_fleet::answer(const std::string &Name, duration Delay,
                              std::function<event()> Make) {
   const unsigned Process = Hosts.at(Name).Process;
@@ -113,29 +171,15 @@
 }
 
 void simulated_fleet::broadcast(const event &Event) {
-  // A watch tells of a change within 100 ms.
-  for (const auto &[Name, Simulated] : Hosts)
-    Scheduled.emplace(Now + Tick * static_cast<int>(1 + 5 * draw()),
-                      [this, Name = Name, Process = Simulated.Process, Event] {
-                        tellByWatch(Name, Process, Event);
-                      });
-}
-
-void simulated_fleet::tellByWatch(const std::string &Name, unsigned Process,
-                                  const event &Event) {
-  const simulated_host &Simulated = Hosts.at(Name);
-  if (Simulated.Process != Process)
-    return;
-  if (Now >= Simulated.WatchSilentUntil)
-    send(Name, Event);
-  else
-    Scheduled.emplace(Simulated.WatchSilentUntil, [this, Name, Process, Event] {
-      tellByWatch(Name, Process, Event);
-    });
+  for (const auto &[Name, Simulated] : Hosts) {
+    const instant From = std::max(Now, Simulated.WatchSilentUntil);
+    sendLater(Name, From - Now + drawSpan(Tick, WatchLag), Event, "watch");
+  }
 }
 
-void simulated_fleet::runScheduled() {
-  while (!Scheduled.empty() && Scheduled.begin()->first <= Now) {
+void simulated_fleet::runScheduled(instant Until) {
+  while (!Scheduled.empty() && Scheduled.begin()->first <= Until) {
+    Now = std::max(Now, Scheduled.begin()->first);
     const auto Next = std::move(Scheduled.begin()->second);
     Scheduled.erase(Scheduled.begin());
     Next();
@@ -159,6 +203,8 @@
     answer(Name, Tick, [this, Target = Probe->Target, Call = Probe->Call] {
       return events::target_probed{Target, statusOf(Target), Call};
     });
+  else if (OnEffect)
+    OnEffect(Name, Effect);
 }
 
 duration simulated_fleet::drawDelay() {
@@ -173,14 +219,17 @@
   Scheduled.emplace(Now + Delay, [this, Lease] { Leases.erase(Lease); });
 }
 
-target_status simulated_fleet::statusOf(const std::string &Target) const {
-  return {Target == Leader, {1, 90}, Term};
+std::optional<target_status>
+simulated_fleet::statusOf(const std::string &Target) const {
+  if (OnProbe)
+    return OnProbe(Target);
+  return target_status{Target == Leader, {1, 90}, Term};
 }
 
 void simulated_fleet::renew(const std::string &Name, std::uint64_t Lease,
                             bool IsNew) {
-  if (draw() < Faults.Rejected) {
-    answer(Name, Tick, [SentAt = Now] {
+  if (isStoreDown() || draw() < Faults.Rejected) {
+    answer(Name, isStoreDown() ? CallTimeout : Tick, [SentAt = Now] {
       return events::lease_answered{0, {}, SentAt, false};
     });
     return;
@@ -188,7 +237,9 @@
   const bool Lasts = IsNew || Leases.contains(Lease);
   if (Lasts)
     Leases[Lease] = Now + LeaseLength;
-  answer(Name, Tick, [Lease, Lasts, SentAt = Now] {
+  const bool IsSlow = SlowAnswers > 0 && draw() < SlowAnswers;
+  const duration Delay = IsSlow ? drawSpan(Tick, MaxAnswerTime) : Tick;
+  answer(Name, Delay, [Lease, Lasts, SentAt = Now] {
     return events::lease_answered{Lasts ? Lease : 0, LeaseLength, SentAt, true};
   });
 }
@@ -203,7 +254,9 @@
       Event.Current = expectedRecords(Change);
     answer(Name, Delay, [Event] { return Event; });
   };
-  if (Luck < Faults.Rejected) {
+  if (isStoreDown()) {
+    Answer(CallTimeout, change_outcome::Unknown, 0);
+  } else if (Luck < Faults.Rejected) {
     Answer(Tick, change_outcome::Rejected, 0);
   } else if (Luck < Faults.Rejected + Faults.Late) {
     Scheduled.emplace(Now + drawDelay(),
@@ -256,6 +309,8 @@
 }
 
 void simulated_fleet::endLeases() {
+  if (isStoreDown())
+    return;
   std::erase_if(Leases, [&](const auto &Lease) { return Lease.second <= Now; });
   std::vector<std::string> Ended;
   for (const auto &[Key, Record] : Records)
@@ -270,6 +325,11 @@
 void simulated_fleet::carryOut(const std::string &Name,
                                const effects::read_records &Read) {
   events::records_read Event{Read.Call, Read.Prefix, {}, true, Revision};
+  if (isStoreDown()) {
+    Event.Answered = false;
+    answer(Name, CallTimeout, [Event] { return Event; });
+    return;
+  }
   for (const auto &[Key, Record] : Records)
     if (Key.starts_with(Read.Prefix))
       Event.Records.push_back(Record);
@@ -319,7 +379,9 @@
   Leader = Target;
   Term += 1;
   Promotions += 1;
-  broadcast(events::targets_listed{entries()});
+  if (OnPromotion)
+    OnPromotion(Target);
+  announceTargets();
 }
 
 void simulated_fleet::continueTransaction(const std::string &Name,
--- a/tests/proxy/simulated_fleet.hpp
+++ b/tests/proxy/simulated_fleet.hpp
@@ -17,6 +17,9 @@
 
 namespace session_test {
 
+/// \brief Settings of a fleet whose targets have no connection owners.
+[[nodiscard]] proxy_settings fleetSettings();
+
 /// \brief Shares of the store's calls that do not go well.
 struct store_faults {
   double Lost = 0;        ///< Made, without an answer.
@@ -31,17 +34,21 @@
   effect_list Effects;
   unsigned Process = 0; ///< Tells answers to this process from earlier ones.
   instant SuspendedUntil{};
-  instant WatchSilentUntil{}; ///< Its watch tells it nothing until then.
+  instant WatchSilentUntil{}; ///< Its watch of the store delivers nothing.
+  /// When each of its sockets delivers its latest event: a socket keeps order.
+  std::map<std::string, instant> Sockets;
   /// A caller's transaction at the primary, which goes on as long as the host
   /// lets it.
   std::optional<target_connection> Transaction;
 };
 
 struct simulated_fleet {
-  explicit simulated_fleet(unsigned Seed, std::size_t Hosts);
+  explicit simulated_fleet(unsigned Seed, std::size_t Hosts,
+                           proxy_settings Settings = fleetSettings());
 
   instant Now = instant(1000s);
   std::mt19937 Random;
+  proxy_settings Settings;
   store_faults Faults;
   std::map<std::string, simulated_host> Hosts;
   std::map<std::string, store_record> Records;
@@ -57,29 +64,55 @@
   std::size_t Promotions = 0;
   std::size_t UnsentOrders = 0;
   double SlowOrders = 0; ///< Share of the orders that wait for up to 2 s.
+  /// Share of the store's answers to lease calls that take up to 1.2 s.
+  double SlowAnswers = 0;
   std::vector<std::string> Violations;
+  duration PromotionTime = 1s; ///< From an order to the new primary.
+  duration WatchLag = 100ms;   ///< Longest delay of a watch.
+  instant StoreDownUntil{};    ///< Calls get no answer.
+  bool LeasesPause = false;    ///< While the store is down.
+  std::map<std::string, std::int64_t> Births; ///< Starts of targets.
+  std::set<std::string> Absent;               ///< Targets that do not run.
+  /// Carry out what this fleet does not: callers, connections and peers.
+  std::function<void(const std::string &, const effect &)> OnEffect;
+  std::function<void(const std::string &)> OnPromotion;
+  std::function<std::optional<target_status>(const std::string &)> OnProbe;
 
   void startHost(const std::string &Name);
   /// \brief Ends a host; another process starts under its name at once.
   void restartHost(const std::string &Name);
+  /// \brief Sends a host an event; a suspended host gets it afterwards.
+  /// \param Socket Events of one socket keep their order.
+  void send(const std::string &Name, event Event,
+            const std::string &Socket = {});
+  /// \brief Sends an event after a delay, if the process still runs then.
+  void sendLater(const std::string &Name, duration Delay, event Event,
+                 const std::string &Socket);
   /// \brief Stops a host's steps; what happens meanwhile reaches it afterwards.
   void suspendHost(const std::string &Name, duration Span);
   /// \brief Stops what a host's watch tells it; its calls are answered.
   void silenceWatch(const std::string &Name, duration Span);
   void listTargets(const std::set<std::string> &NowDraining);
+  /// \brief Tells the hosts of the list of targets.
+  void announceTargets();
   void advanceTime(duration Span);
+  /// \brief Lets the store answer no call for a time.
+  void interruptStore(duration Span, bool LeasesPauseMeanwhile);
   /// \brief Whether the group's record is open for its primary.
   [[nodiscard]] bool isServing() const;
+  /// Draws the delay of a call that is made late.
+  duration drawDelay();
+  double draw() { return std::uniform_real_distribution<>(0, 1)(Random); }
+  [[nodiscard]] duration drawSpan(duration Least, duration Most);
 
 private:
-  void send(const std::string &Name, event Event);
+  void deliver(const std::string &Name, event Event);
+  [[nodiscard]] bool isStoreDown() const { return Now < StoreDownUntil; }
   /// Answers a call after a delay, if the process that made it still runs.
   void answer(const std::string &Name, duration Delay,
               std::function<event()> Make);
   void broadcast(const event &Event);
-  void tellByWatch(const std::string &Name, unsigned Process,
-                   const event &Event);
-  void runScheduled();
+  void runScheduled(instant Until);
   void carryOut(const std::string &Name, const effect &Effect);
   void carryOut(const std::string &Name, const effects::change_records &Change);
   void carryOut(const std::string &Name, const effects::read_records &Read);
@@ -101,10 +134,9 @@
   void erase(const std::string &Key);
   void endLeases();
   void checkRules();
-  [[nodiscard]] target_status statusOf(const std::string &Target) const;
+  [[nodiscard]] std::optional<target_status>
+  statusOf(const std::string &Target) const;
   [[nodiscard]] std::vector<target_entry> entries() const;
-  duration drawDelay();
-  double draw() { return std::uniform_real_distribution<>(0, 1)(Random); }
 };
 
 } // namespace session_test
--- /dev/null
+++ b/tests/proxy/simulated_reads.hpp
@@ -0,0 +1,82 @@
+/// Callers of a simulated fleet that read and write on routes of each kind, and
+/// the check that no read lacks a commit that it must show.
+#pragma once
+
+#include "simulated_targets.hpp"
+
+namespace session_test {
+
+enum class caller_step { Closed, Opening, Waiting, Pausing };
+
+/// \brief A caller that sends one statement at a time.
+struct simulated_caller {
+  std::size_t Number = 0;
+  caller_step Step = caller_step::Closed;
+  std::string Host;
+  unsigned Process = 0;
+  session_number Session = 0;
+  std::uint64_t Life = 0; ///< Counts its sessions over all hosts.
+  std::string Database;
+  unsigned OperationsLeft = 0;
+  std::vector<statement_kind> Statements; ///< Left of the operation.
+  instant OperationAt{};                  ///< First byte of the operation.
+  bool Wrote = false;
+  std::string Id; ///< Of the statement that is not answered.
+  statement_kind Kind = statement_kind::Unknown;
+  instant NextAt{}; ///< End of a pause, or when it gives up.
+};
+
+/// \brief What a read must show.
+struct read_demand {
+  instant FirstByte{};
+  std::uint64_t Life = 0;
+  read_consistency Consistency = read_consistency::Primary;
+  duration MaxStaleness{};
+};
+
+struct acknowledged_commit {
+  instant At{};
+  std::uint64_t Life = 0;
+  std::size_t Commit = 0;
+};
+
+struct simulated_reads {
+  simulated_fleet Fleet;
+  simulated_targets Targets;
+  std::vector<simulated_caller> Callers;
+  std::map<std::string, read_demand> Demands;
+  std::vector<acknowledged_commit> Acknowledged; ///< In order.
+  /// Log lines of the hosts and promotions before the first violation.
+  std::deque<std::string> Trace;
+  std::uint64_t LastLife = 0;
+  std::uint64_t LastId = 0;
+  session_number LastSession = 0;
+  std::size_t Answered = 0;                    ///< Statements with success.
+  std::map<std::string, std::size_t> Refusals; ///< By code.
+  std::map<std::string, unsigned> LinkLosses;  ///< By pair of hosts.
+
+  simulated_reads(unsigned Seed, std::size_t Hosts, std::size_t CallerCount,
+                  bool Owned, unsigned ConfirmingReplicas);
+  simulated_reads(const simulated_reads &) = delete;
+  simulated_reads &operator=(const simulated_reads &) = delete;
+  void advanceTime(duration Span);
+  void restartHost(const std::string &Name);
+
+private:
+  void carryOut(const std::string &Host, const effect &Effect);
+  void carryOutForPeer(const std::string &Host, const effect &Effect);
+  void answered(const std::string &Host, session_number Session,
+                const answer &Answer);
+  void act(simulated_caller &Caller);
+  void open(simulated_caller &Caller);
+  void close(simulated_caller &Caller);
+  void beginOperation(simulated_caller &Caller);
+  void sendNext(simulated_caller &Caller);
+  void checkRead(const std::string &Id, const std::string &Target);
+  void acknowledge(const simulated_caller &Caller);
+  void note(const std::string &Host, const effects::write_log &Line);
+  void noteText(std::string Text);
+  void report(const std::string &Text);
+};
+
+} // namespace session_test
