--- a/tests/proxy/simulated_reads.cpp
+++ b/tests/proxy/simulated_reads.cpp
@@ -50,10 +50,14 @@
   return "host-" + Endpoint.Address.substr(Endpoint.Address.rfind('.') + 1);
 }
 
-/// Name that a host gives to a connection which another host dialled.
-std::string dialledLink(const std::string &Peer) { return '#' + Peer; }
+/// Name that a host gives to a connection which another host's process dialled.
+std::string dialledLink(const simulated_fleet &Fleet, const std::string &Peer) {
+  return '#' + Peer + '/' + std::to_string(Fleet.Hosts.at(Peer).Process);
+}
 
-std::string hostOfLink(const std::string &Link) { return Link.substr(1); }
+std::string hostOfLink(const std::string &Link) {
+  return Link.substr(1, Link.find('/') - 1);
+}
 
 std::string peerSocket(const std::string &Peer) { return "peer-" + Peer; }
 
@@ -110,6 +114,7 @@
 void simulated_reads::restartHost(const std::string &Name) {
   const std::string Link =
       toText(Fleet.Hosts.at(Name).Host->Identity.PeerEndpoint);
+  const std::string Dialled = dialledLink(Fleet, Name);
   std::erase_if(Targets.Connections,
                 [&](const auto &Entry) { return Entry.first.first == Name; });
   Fleet.restartHost(Name);
@@ -117,8 +122,8 @@
     if (Peer != Name) {
       Fleet.sendLater(Peer, peerDelay(Fleet), events::peer_lost{Link},
                       peerSocket(Name));
-      Fleet.sendLater(Peer, peerDelay(Fleet),
-                      events::peer_lost{dialledLink(Name)}, peerSocket(Name));
+      Fleet.sendLater(Peer, peerDelay(Fleet), events::peer_lost{Dialled},
+                      peerSocket(Name));
     }
 }
 
@@ -154,26 +159,31 @@
       Fleet.sendLater(Peer, peerDelay(Fleet), std::move(Event),
                       peerSocket(Host));
   };
-  const std::string Link = dialledLink(Host);
+  const std::string Link = dialledLink(Fleet, Host);
+  // An answer to a process that has ended does not reach the next one.
+  const auto Reply = [&](const std::string &To, event Event) {
+    if (dialledLink(Fleet, hostOfLink(To)) == To)
+      Send(hostOfLink(To), std::move(Event));
+  };
   if (const auto *Forward = std::get_if<effects::forward>(&Effect))
     Send(hostAt(Forward->Owner),
          events::forward_requested{Link, Forward->Ticket, Forward->Forwarded});
   else if (const auto *Ended = std::get_if<effects::end_forward>(&Effect))
     Send(hostAt(Ended->Owner), events::forward_ended{Link, Ended->Ticket});
   else if (const auto *Answer = std::get_if<effects::answer_forward>(&Effect))
-    Send(hostOfLink(Answer->Link),
-         events::target_answered{Answer->Ticket, Answer->Answer});
+    Reply(Answer->Link,
+          events::target_answered{Answer->Ticket, Answer->Answer});
   else if (const auto *Pending = std::get_if<effects::report_pending>(&Effect))
-    Send(hostOfLink(Pending->Link), events::forward_pending{OwnLink});
+    Reply(Pending->Link, events::forward_pending{OwnLink});
   else if (const auto *Asked = std::get_if<effects::request_vote>(&Effect))
     Send(hostAt(Asked->Elector), events::vote_requested{Link, Asked->Request});
   else if (const auto *Vote = std::get_if<effects::send_vote>(&Effect))
-    Send(hostOfLink(Vote->Link), events::vote_received{Vote->Vote});
+    Reply(Vote->Link, events::vote_received{Vote->Vote});
   else if (const auto *Wanted = std::get_if<effects::request_position>(&Effect))
     Send(hostAt(Wanted->Owner),
          events::position_requested{Link, Wanted->Request});
   else if (const auto *Shared = std::get_if<effects::send_position>(&Effect))
-    Send(hostOfLink(Shared->Link), events::position_received{Shared->Shared});
+    Reply(Shared->Link, events::position_received{Shared->Shared});
   else if (const auto *Dropped = std::get_if<effects::drop_peer>(&Effect)) {
     Fleet.sendLater(Host, 1ms, events::peer_lost{toText(Dropped->Peer)},
                     peerSocket(hostAt(Dropped->Peer)));
