--- a/tests/proxy/simulated_reads_tests.cpp
+++ b/tests/proxy/simulated_reads_tests.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+/// From here on, the seeds include one that shows each of the mutants named in
+/// docs/incidents/stale-read.md.
 constexpr unsigned FirstSeed = 95;
 constexpr unsigned Seeds = 50;
 constexpr std::size_t HostCount = 5;
