Hold back what a silent watch of the simulation was about to deliver

"A host whose watch is silent uses no replaced primary" then passed with the registration's condition taken out, so that it guarded nothing.

Change: an event of a silent watch is delivered after the silence.

Ruled out: the other form, which draws the order of a watch's events anew: with it the simulated reads no longer broke with positions counted as in.

--- a/tests/proxy/simulated_fleet.cpp
+++ b/tests/proxy/simulated_fleet.cpp
@@ -156,7 +156,12 @@
   Latest = std::max(Latest, Now + Delay);
   Scheduled.emplace(Latest, [this, Name, Process = Simulated.Process, Socket,
                              Event = std::move(Event)] {
-    if (Hosts.at(Name).Process == Process)
+    if (Hosts.at(Name).Process != Process)
+      return;
+    const duration Silence = Hosts.at(Name).WatchSilentUntil - Now;
+    if (Socket == "watch" && Silence > 0ms)
+      sendLater(Name, Silence, Event, Socket);
+    else
       send(Name, Event, Socket);
   });
 }
