Share the start of a read with a setup between two test cases

Cause: two cases of copy_belief_tests wrote the same ten lines that forward a read behind a session value.

Change: beginReadWithSetup. The cases keep their assertions.

Measured: test_proxy 1374 assertions in 193 cases before and after; format and lint of the file are clean. No run of the whole script.

--- a/tests/proxy/copy_belief_tests.cpp
+++ b/tests/proxy/copy_belief_tests.cpp
@@ -170,9 +170,9 @@
   CHECK(Found == log_position{1, 40});
 }
 
-TEST_CASE("A read whose setup outlasts its position is not run on a replica") {
-  // The position was chosen when the setup began, and covers too little then.
-  host_driver Driver;
+/// Forwards a read to a host that runs it on a replica, behind a session value
+/// that its connection lacks. \returns The setup that the host sends.
+effects::send_target beginReadWithSetup(host_driver &Driver) {
   Driver.becomeReady();
   assignOwners(Driver);
   Driver.send(events::forward_requested{"#1", 5, replicaRead("b")});
@@ -182,7 +182,13 @@
   Read.Values["v"] = "1";
   Read.RemainingTime = 3s;
   Driver.send(events::forward_requested{"#1", 6, Read});
-  const auto Setup = takeOnlySend(Driver);
+  return takeOnlySend(Driver);
+}
+
+TEST_CASE("A read whose setup outlasts its position is not run on a replica") {
+  // The position was chosen when the setup began, and covers too little then.
+  host_driver Driver;
+  const auto Setup = beginReadWithSetup(Driver);
   Driver.Now += 1600ms;
   Driver.grantLease(7);
   Driver.send(events::target_answered{Setup.Connection,
@@ -193,16 +199,7 @@
 
 TEST_CASE("A read whose setup takes a while requires a later position") {
   host_driver Driver;
-  Driver.becomeReady();
-  assignOwners(Driver);
-  Driver.send(events::forward_requested{"#1", 5, replicaRead("b")});
-  (void)takeOnlyAnswer(Driver);
-  sharePosition(Driver, {1, 40}, 100ms);
-  forwarded_statement Read = replicaRead("b");
-  Read.Values["v"] = "1";
-  Read.RemainingTime = 3s;
-  Driver.send(events::forward_requested{"#1", 6, Read});
-  const auto Setup = takeOnlySend(Driver);
+  const auto Setup = beginReadWithSetup(Driver);
   Driver.advanceTime(900ms);
   Driver.grantLease(7);
   const auto Requests = Driver.takeEffects<effects::request_position>();
