Tell unanswered orders and the proof of an opened record in the log

Cause: the three hypotheses of docs/incidents/two-coordinators.md could not be told apart. An order without an answer was logged as accepted, and no line said on which answers a record was opened or in which term its primary leads.

Change: order_outcome::Unanswered; generation in promotion.sent, term in primary.record, and promotion.opening with the statuses. No decision changes: an unanswered order is still treated as an accepted one.

--- a/include/bronzespar/proxy/interface.hpp
+++ b/include/bronzespar/proxy/interface.hpp
@@ -51,12 +51,14 @@
 
 /// \brief The platform's answer to an order to promote a target.
 enum class order_outcome {
-  Accepted,   ///< Or without an answer: it may be carried out.
+  Accepted,   ///< It is carried out within a bounded time.
+  Unanswered, ///< No answer came: it may be carried out.
   NotRunning, ///< The target does not run, so that it can't be promoted.
   Rejected,   ///< The platform did nothing: it is down or overloaded.
   NotSent     ///< The order never left this host; see mayOrder in host.hpp.
 };
-BOOST_DESCRIBE_ENUM(order_outcome, Accepted, NotRunning, Rejected, NotSent)
+BOOST_DESCRIBE_ENUM(order_outcome, Accepted, Unanswered, NotRunning, Rejected,
+                    NotSent)
 
 /// \brief Tokens of one account that a host requests or grants.
 struct token_transfer {
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -164,6 +164,7 @@
           {{"group", Name},
            {"primary", Parsed->Primary},
            {"generation", std::to_string(Parsed->Generation)},
+           {"term", std::to_string(Parsed->Term)},
            {"open", Parsed->Open ? "true" : "false"}});
   if (!Group.Record || Group.Record->Generation != Parsed->Generation) {
     Group.Voters.clear();
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -60,6 +60,13 @@
            {"ms", elapsedMsText(Group.Promotion.StartedAt, Step.Now)}});
 }
 
+std::string generationText(const host &State, const std::string &Name) {
+  const auto Group = State.Groups.find(Name);
+  return Group == State.Groups.end() || !Group->second.Record
+             ? "unknown"
+             : std::to_string(Group->second.Record->Generation);
+}
+
 std::string groupKey(const std::string &Name) {
   return std::string(GroupsPrefix) + Name;
 }
@@ -238,6 +245,11 @@
                                  ? std::max(Status->Term, Group.Record->Term)
                                  : Group.Record->Term;
   Group.Promotion.Candidate = Primary;
+  logLine(Step, "promotion.opening",
+          {{"group", Name},
+           {"primary", Primary},
+           {"term", std::to_string(Term)},
+           {"statuses", describeStatuses(Step.State, Group.Promotion)}});
   enterStage(Step, Name, Group, promotion_stage::Opening);
   changeRecord(Step, Name, Group, Group.Promotion.ClosedRevision,
                {Group.Record->Generation + 1, Primary, true,
@@ -623,6 +635,7 @@
   logLine(Step, "promotion.sent",
           {{"group", Event.Group},
            {"target", Event.Target},
+           {"generation", generationText(Step.State, Event.Group)},
            {"token", std::to_string(Event.FencingToken)},
            {"waited_ms", elapsedMsText(Event.DecidedAt, Step.Now)},
            {"held", Step.State.Coordinator.IsHeld ? "true" : "false"}});
@@ -638,7 +651,8 @@
           {{"group", Event.Group},
            {"candidate", Group->Promotion.Candidate},
            {"outcome", std::string(enumName(Event.Outcome))}});
-  if (Event.Outcome == order_outcome::Accepted)
+  if (Event.Outcome == order_outcome::Accepted ||
+      Event.Outcome == order_outcome::Unanswered)
     return;
   if (Event.Outcome == order_outcome::NotRunning)
     Group->Promotion.RefusedCandidates.insert(Group->Promotion.Candidate);
--- a/tests/platform/store_client_tests.cpp
+++ b/tests/platform/store_client_tests.cpp
@@ -128,5 +128,12 @@
     Fixture.answer({0, {}, Sent});
   }
   CHECK(Fixture.Orders == std::vector{proxy::order_outcome::NotSent,
-                                      proxy::order_outcome::Accepted});
+                                      proxy::order_outcome::Unanswered});
+}
+
+TEST_CASE("An order that was accepted is told apart from an unanswered one") {
+  client_fixture Fixture;
+  Fixture.Client.carryOut(proxy::effects::order_promotion{});
+  Fixture.answer({StatusOk, {}});
+  CHECK(Fixture.Orders == std::vector{proxy::order_outcome::Accepted});
 }
