Cut the paths of the simulated fleet, and answer orders as the platform does

Cause: the simulated fleet lost store calls of all hosts at once only, reached every target always, and each order was carried out and answered.

Change: simulated_network holds cuts of single paths, in one direction or in both. Calls to the store on a cut path end unanswered, its watch is silent; dials and probes end unanswered, statements and answers arrive after the cut or their connection breaks. With OnlyRunningLead a target that does not run, or crashes before the effect, is not promoted. New checks: no two holders order under one token, and no order is sent while the platform will still carry out another. Targets may lose the other targets, so that an old primary goes on.

Without a cut or a fault of orders nothing more is drawn at random.

--- a/tests/proxy/simulated_fleet.cpp
+++ b/tests/proxy/simulated_fleet.cpp
@@ -1,4 +1,4 @@
-/// Store, targets and platform of the simulated fleet.
+/// Hosts, time and rules of the simulated fleet.
 #include "simulated_fleet.hpp"
 
 #include <algorithm>
@@ -8,13 +8,11 @@
 
 namespace {
 
-constexpr duration Tick = 20ms;
-constexpr duration CallTimeout = 1500ms;
-constexpr duration MaxAnswerTime = 1200ms;
+/// A probe that is not answered ends then.
+constexpr duration ProbeTimeout = 300ms;
 /// Events that wait for a suspended host reach it within this time, in an order
 /// that differs between sockets.
 constexpr duration ResumptionTime = 60ms;
-constexpr duration LeaseLength = 1600ms;
 
 } // namespace
 
@@ -40,9 +38,23 @@
   simulated_host &Started = Hosts[Name] = {};
   Started.Host = makeHost(Identity);
   Started.Process = ++LastProcess;
-  send(Name, events::store_reachability_changed{true});
+  const bool IsCut = Network.toStore(Name).isCut(Now);
+  send(Name, events::store_reachability_changed{!IsCut});
   send(Name, events::settings_changed{Settings});
   send(Name, events::targets_listed{entries()});
+  tellRecords(Name);
+}
+
+void simulated_fleet::tellRecords(const std::string &Name) {
+  const simulated_path Path = Network.toStore(Name);
+  if (Path.isCut(Now)) {
+    Scheduled.emplace(Path.cutUntil(),
+                      [this, Name, Process = Hosts.at(Name).Process] {
+                        if (Hosts.at(Name).Process == Process)
+                          tellRecords(Name);
+                      });
+    return;
+  }
   for (const auto &[Key, Record] : Records)
     send(Name, events::record_changed{Record});
 }
@@ -59,6 +71,30 @@
   Until = std::max(Until, Now + Span);
 }
 
+instant simulated_fleet::watchSilentUntil(const std::string &Name) const {
+  return std::max(Hosts.at(Name).WatchSilentUntil,
+                  Network.toStore(Name).cutUntil());
+}
+
+void simulated_fleet::cutFromStore(const std::string &Name,
+                                   cut_direction Direction, duration Span) {
+  Network.cut(Network.StorePaths[Name], Direction, Now + Span);
+  const instant Until = Network.toStore(Name).cutUntil();
+  if (Until - Now > StoreCallTimeout)
+    sendLater(Name, StoreCallTimeout, events::store_reachability_changed{false},
+              "store");
+  Scheduled.emplace(Until, [this, Name] {
+    if (!Network.toStore(Name).isCut(Now))
+      send(Name, events::store_reachability_changed{!isStoreDown()}, "store");
+  });
+}
+
+void simulated_fleet::cutFromTarget(const std::string &Name,
+                                    const std::string &Target,
+                                    cut_direction Direction, duration Span) {
+  Network.cut(Network.TargetPaths[{Name, Target}], Direction, Now + Span);
+}
+
 std::vector<target_entry> simulated_fleet::entries() const {
   std::vector<target_entry> Entries;
   for (const std::string Id : {"a", "b", "c"}) {
@@ -89,11 +125,11 @@
     for (auto &[Lease, Until] : Leases)
       Until += Span;
   for (const auto &[Name, Simulated] : Hosts) {
-    sendLater(Name, CallTimeout, events::store_reachability_changed{false},
+    sendLater(Name, StoreCallTimeout, events::store_reachability_changed{false},
               "store");
     sendLater(Name, Span, events::store_reachability_changed{true}, "store");
   }
-  Scheduled.emplace(Now + Span + Tick, [this] { announceTargets(); });
+  Scheduled.emplace(Now + Span + FleetTick, [this] { announceTargets(); });
 }
 
 duration simulated_fleet::drawSpan(duration Least, duration Most) {
@@ -104,7 +140,7 @@
 void simulated_fleet::advanceTime(duration Span) {
   const instant End = Now + Span;
   while (Now < End) {
-    const instant Next = Now + Tick;
+    const instant Next = Now + FleetTick;
     runScheduled(Next);
     Now = Next;
     endLeases();
@@ -158,7 +194,7 @@
                              Event = std::move(Event)] {
     if (Hosts.at(Name).Process != Process)
       return;
-    const duration Silence = Hosts.at(Name).WatchSilentUntil - Now;
+    const duration Silence = watchSilentUntil(Name) - Now;
     if (Socket == "watch" && Silence > 0ms)
       sendLater(Name, Silence, Event, Socket);
     else
@@ -177,8 +213,8 @@
 
 void simulated_fleet::broadcast(const event &Event) {
   for (const auto &[Name, Simulated] : Hosts) {
-    const instant From = std::max(Now, Simulated.WatchSilentUntil);
-    sendLater(Name, From - Now + drawSpan(Tick, WatchLag), Event, "watch");
+    const instant From = std::max(Now, watchSilentUntil(Name));
+    sendLater(Name, From - Now + drawSpan(FleetTick, WatchLag), Event, "watch");
   }
 }
 
@@ -203,25 +239,21 @@
   else if (const auto *Renew = std::get_if<effects::renew_lease>(&Effect))
     renew(Name, Renew->Lease, false);
   else if (const auto *Revoke = std::get_if<effects::revoke_lease>(&Effect))
-    revoke(Revoke->Lease);
+    revoke(Name, Revoke->Lease);
   else if (const auto *Probe = std::get_if<effects::probe_target>(&Effect))
-    answer(Name, Tick, [this, Target = Probe->Target, Call = Probe->Call] {
-      return events::target_probed{Target, statusOf(Target), Call};
-    });
+    carryOut(Name, *Probe);
   else if (OnEffect)
     OnEffect(Name, Effect);
 }
 
-duration simulated_fleet::drawDelay() {
-  const auto Range = std::chrono::duration_cast<std::chrono::milliseconds>(
-      Faults.MaxDelay - Faults.MinDelay);
-  return Faults.MinDelay + std::chrono::milliseconds(static_cast<int>(
-                               static_cast<double>(Range.count()) * draw()));
-}
-
-void simulated_fleet::revoke(std::uint64_t Lease) {
-  const duration Delay = draw() < Faults.Late ? drawDelay() : duration(0);
-  Scheduled.emplace(Now + Delay, [this, Lease] { Leases.erase(Lease); });
+void simulated_fleet::carryOut(const std::string &Name,
+                               const effects::probe_target &Probe) {
+  const bool IsCut = Network.toTarget(Name, Probe.Target).isCut(Now);
+  answer(Name, IsCut ? ProbeTimeout : FleetTick,
+         [this, IsCut, Target = Probe.Target, Call = Probe.Call] {
+           return events::target_probed{
+               Target, IsCut ? std::nullopt : statusOf(Target), Call};
+         });
 }
 
 std::optional<target_status>
@@ -231,162 +263,8 @@
   return target_status{Target == Leader, {1, 90}, Term};
 }
 
-void simulated_fleet::renew(const std::string &Name, std::uint64_t Lease,
-                            bool IsNew) {
-  if (isStoreDown() || draw() < Faults.Rejected) {
-    answer(Name, isStoreDown() ? CallTimeout : Tick, [SentAt = Now] {
-      return events::lease_answered{0, {}, SentAt, false};
-    });
-    return;
-  }
-  const bool Lasts = IsNew || Leases.contains(Lease);
-  if (Lasts)
-    Leases[Lease] = Now + LeaseLength;
-  const bool IsSlow = SlowAnswers > 0 && draw() < SlowAnswers;
-  const duration Delay = IsSlow ? drawSpan(Tick, MaxAnswerTime) : Tick;
-  answer(Name, Delay, [Lease, Lasts, SentAt = Now] {
-    return events::lease_answered{Lasts ? Lease : 0, LeaseLength, SentAt, true};
-  });
-}
-
-void simulated_fleet::carryOut(const std::string &Name,
-                               const effects::change_records &Change) {
-  const double Luck = draw();
-  const auto Answer = [&](duration Delay, change_outcome Outcome,
-                          std::uint64_t At) {
-    events::change_ended Event{Change.Call, Outcome, At};
-    if (Outcome == change_outcome::Conflict)
-      Event.Current = expectedRecords(Change);
-    answer(Name, Delay, [Event] { return Event; });
-  };
-  if (isStoreDown()) {
-    Answer(CallTimeout, change_outcome::Unknown, 0);
-  } else if (Luck < Faults.Rejected) {
-    Answer(Tick, change_outcome::Rejected, 0);
-  } else if (Luck < Faults.Rejected + Faults.Late) {
-    Scheduled.emplace(Now + drawDelay(),
-                      [this, Change] { (void)apply(Change); });
-    Answer(CallTimeout, change_outcome::Unknown, 0);
-  } else {
-    const change_outcome Outcome = apply(Change);
-    const bool IsLost = Luck < Faults.Rejected + Faults.Late + Faults.Lost;
-    Answer(IsLost ? CallTimeout : Tick,
-           IsLost ? change_outcome::Unknown : Outcome, Revision);
-  }
-}
-
-change_outcome simulated_fleet::apply(const effects::change_records &Change) {
-  for (const auto &[Key, Expected] : Change.Expected) {
-    const auto Found = Records.find(Key);
-    if ((Found == Records.end() ? 0 : Found->second.Revision) != Expected)
-      return change_outcome::Conflict;
-  }
-  for (const store_write &Write : Change.Writes)
-    if (Write.BoundToLease && !Leases.contains(Change.Lease))
-      return change_outcome::LeaseGone;
-  Revision += 1;
-  for (const store_write &Write : Change.Writes)
-    write(Write, Change.Lease);
-  for (const std::string &Key : Change.Deletes)
-    erase(Key);
-  return change_outcome::Done;
-}
-
-std::vector<store_record>
-simulated_fleet::expectedRecords(const effects::change_records &Change) const {
-  std::vector<store_record> Existing;
-  for (const auto &[Key, Expected] : Change.Expected)
-    if (const auto Found = Records.find(Key); Found != Records.end())
-      Existing.push_back(Found->second);
-  return Existing;
-}
-
-void simulated_fleet::write(const store_write &Write, std::uint64_t Lease) {
-  const store_record Record{Write.Key, Write.Value, Revision,
-                            Write.BoundToLease ? Lease : 0};
-  Records[Write.Key] = Record;
-  broadcast(events::record_changed{Record});
-}
-
-void simulated_fleet::erase(const std::string &Key) {
-  Records.erase(Key);
-  broadcast(events::record_removed{Key, Revision});
-}
-
-void simulated_fleet::endLeases() {
-  if (isStoreDown())
-    return;
-  std::erase_if(Leases, [&](const auto &Lease) { return Lease.second <= Now; });
-  std::vector<std::string> Ended;
-  for (const auto &[Key, Record] : Records)
-    if (Record.Lease != 0 && !Leases.contains(Record.Lease))
-      Ended.push_back(Key);
-  for (const std::string &Key : Ended) {
-    Revision += 1;
-    erase(Key);
-  }
-}
-
-void simulated_fleet::carryOut(const std::string &Name,
-                               const effects::read_records &Read) {
-  events::records_read Event{Read.Call, Read.Prefix, {}, true, Revision};
-  if (isStoreDown()) {
-    Event.Answered = false;
-    answer(Name, CallTimeout, [Event] { return Event; });
-    return;
-  }
-  for (const auto &[Key, Record] : Records)
-    if (Key.starts_with(Read.Prefix))
-      Event.Records.push_back(Record);
-  answer(Name, Tick, [Event] { return Event; });
-}
-
-void simulated_fleet::carryOut(const std::string &Name,
-                               const effects::order_promotion &Order) {
-  const bool Waits = draw() < SlowOrders;
-  const auto Wait =
-      std::chrono::milliseconds(Waits ? static_cast<int>(2000 * draw()) : 0);
-  Scheduled.emplace(Now + Wait, [this, Name, Process = Hosts.at(Name).Process,
-                                 Order] { sendOrder(Name, Process, Order); });
-}
-
-void simulated_fleet::sendOrder(const std::string &Name, unsigned Process,
-                                const effects::order_promotion &Order) {
-  const simulated_host &Simulated = Hosts.at(Name);
-  if (Simulated.Process != Process)
-    return;
-  if (Now < Simulated.SuspendedUntil) {
-    Scheduled.emplace(Simulated.SuspendedUntil, [this, Name, Process, Order] {
-      sendOrder(Name, Process, Order);
-    });
-    return;
-  }
-  const bool Sent = mayOrder(*Simulated.Host, Order, Now);
-  answer(Name, Tick, [Order, Sent] {
-    return events::promotion_answered{Order.Group, Order.Call,
-                                      Sent ? order_outcome::Accepted
-                                           : order_outcome::NotSent};
-  });
-  if (!Sent) {
-    UnsentOrders += 1;
-    return;
-  }
-  if (Order.FencingToken < HighestToken)
-    Violations.push_back(Name + " orders with an earlier token");
-  HighestToken = std::max(HighestToken, Order.FencingToken);
-  Scheduled.emplace(Now + PromotionTime,
-                    [this, Target = Order.Target] { promote(Target); });
-}
-
-void simulated_fleet::promote(const std::string &Target) {
-  if (Target == Leader)
-    return;
-  Leader = Target;
-  Term += 1;
-  Promotions += 1;
-  if (OnPromotion)
-    OnPromotion(Target);
-  announceTargets();
+void simulated_fleet::report(const std::string &Text) {
+  Violations.push_back(elapsedMsText(instant(1000s), Now) + ' ' + Text);
 }
 
 void simulated_fleet::continueTransaction(const std::string &Name,
@@ -396,8 +274,8 @@
   if (Open && !mayContinueAtPrimary(*Simulated.Host, *Open, Now))
     Open.reset();
   if (Open && Open->Target != Leader)
-    Violations.push_back(Name + " goes on with a transaction at " +
-                         Open->Target + " while " + Leader + " is primary");
+    report(Name + " goes on with a transaction at " + Open->Target + " while " +
+           Leader + " is primary");
   if (Open || !mayUsePrimary(*Simulated.Host, Group, Now))
     return;
   Open.emplace();
@@ -416,8 +294,8 @@
     if (Found != Groups.end() && Found->second.Record &&
         Found->second.Record->Primary != Leader &&
         mayUsePrimary(*Simulated.Host, Group, Now))
-      Violations.push_back(Name + " may use " + Found->second.Record->Primary +
-                           " while " + Leader + " is primary");
+      report(Name + " may use " + Found->second.Record->Primary + " while " +
+             Leader + " is primary");
   }
 }
 
--- a/tests/proxy/simulated_fleet.hpp
+++ b/tests/proxy/simulated_fleet.hpp
@@ -1,9 +1,10 @@
 /// A fleet of hosts on virtual time, with a store that loses answers and makes
 /// changes late, hosts that are suspended, orders that wait before they are
-/// sent, and a group whose members are promoted.
+/// sent, paths that are cut, and a group whose members are promoted.
 #pragma once
 
 #include "host_driver.hpp"
+#include "simulated_network.hpp"
 
 #include <proxy/parts.hpp>
 
@@ -17,6 +18,11 @@
 
 namespace session_test {
 
+/// Time between two ticks of a host; an answer takes as long.
+inline constexpr duration FleetTick = 20ms;
+/// A call to the store that is not answered ends then.
+inline constexpr duration StoreCallTimeout = 1500ms;
+
 /// \brief Settings of a fleet whose targets have no connection owners.
 [[nodiscard]] proxy_settings fleetSettings();
 
@@ -29,6 +35,17 @@
   duration MaxDelay = 6s;
 };
 
+/// \brief Shares of the orders to promote that do not go well.
+struct order_faults {
+  double Lost = 0;     ///< Not carried out, without an answer.
+  double Rejected = 0; ///< Not carried out.
+  double Unheard = 0;  ///< Carried out, without an answer.
+};
+
+/// \brief What becomes of an order that was sent.
+enum class order_fate { CarriedOut, Unheard, Lost, Rejected, NotRunning };
+BOOST_DESCRIBE_ENUM(order_fate, CarriedOut, Unheard, Lost, Rejected, NotRunning)
+
 struct simulated_host {
   host_pointer Host;
   effect_list Effects;
@@ -50,6 +67,8 @@
   std::mt19937 Random;
   proxy_settings Settings;
   store_faults Faults;
+  order_faults OrderFaults;
+  simulated_network Network;
   std::map<std::string, simulated_host> Hosts;
   std::map<std::string, store_record> Records;
   std::uint64_t Revision = 10;
@@ -61,6 +80,11 @@
   std::uint64_t Term = 1;
   std::set<std::string> Draining;
   std::uint64_t HighestToken = 0;
+  std::map<std::uint64_t, std::string> TokenHolders; ///< Who ordered with each.
+  /// Target of the order that the platform will carry out.
+  std::optional<std::string> UnderWay;
+  std::size_t Orders = 0; ///< That were sent.
+  std::size_t UnansweredOrders = 0;
   std::size_t Promotions = 0;
   std::size_t UnsentOrders = 0;
   double SlowOrders = 0; ///< Share of the orders that wait for up to 2 s.
@@ -71,11 +95,16 @@
   duration WatchLag = 100ms;   ///< Longest delay of a watch.
   instant StoreDownUntil{};    ///< Calls get no answer.
   bool LeasesPause = false;    ///< While the store is down.
+  /// The platform promotes no target that does not run, at the order or since.
+  bool OnlyRunningLead = false;
   std::map<std::string, std::int64_t> Births; ///< Starts of targets.
   std::set<std::string> Absent;               ///< Targets that do not run.
   /// Carry out what this fleet does not: callers, connections and peers.
   std::function<void(const std::string &, const effect &)> OnEffect;
   std::function<void(const std::string &)> OnPromotion;
+  std::function<void(const std::string &, const effects::order_promotion &,
+                     order_fate)>
+      OnOrder; ///< Called after an order was sent.
   std::function<std::optional<target_status>(const std::string &)> OnProbe;
 
   void startHost(const std::string &Name);
@@ -92,6 +121,12 @@
   void suspendHost(const std::string &Name, duration Span);
   /// \brief Stops what a host's watch tells it; its calls are answered.
   void silenceWatch(const std::string &Name, duration Span);
+  /// \brief Cuts a host off from the store and from the platform.
+  void cutFromStore(const std::string &Name, cut_direction Direction,
+                    duration Span);
+  /// \brief Cuts the path between a host and a target.
+  void cutFromTarget(const std::string &Name, const std::string &Target,
+                     cut_direction Direction, duration Span);
   void listTargets(const std::set<std::string> &NowDraining);
   /// \brief Tells the hosts of the list of targets.
   void announceTargets();
@@ -100,6 +135,8 @@
   void interruptStore(duration Span, bool LeasesPauseMeanwhile);
   /// \brief Whether the group's record is open for its primary.
   [[nodiscard]] bool isServing() const;
+  /// \brief Notes a broken rule.
+  void report(const std::string &Text);
   /// Draws the delay of a call that is made late.
   duration drawDelay();
   double draw() { return std::uniform_real_distribution<>(0, 1)(Random); }
@@ -112,6 +149,10 @@
   void answer(const std::string &Name, duration Delay,
               std::function<event()> Make);
   void broadcast(const event &Event);
+  /// Until when the watch of a host delivers nothing.
+  [[nodiscard]] instant watchSilentUntil(const std::string &Name) const;
+  /// Tells a host that has started what the store holds, once it is in reach.
+  void tellRecords(const std::string &Name);
   void runScheduled(instant Until);
   void carryOut(const std::string &Name, const effect &Effect);
   void carryOut(const std::string &Name, const effects::change_records &Change);
@@ -120,11 +161,22 @@
   /// Sends an order if its host still allows that.
   void sendOrder(const std::string &Name, unsigned Process,
                  const effects::order_promotion &Order);
+  void answerOrder(const std::string &Name,
+                   const effects::order_promotion &Order,
+                   order_outcome Outcome);
+  void checkOrder(const std::string &Name,
+                  const effects::order_promotion &Order);
+  [[nodiscard]] order_fate drawFate(const std::string &Name,
+                                    const std::string &Target);
+  /// Has the target lead later, unless it leads already.
+  void schedulePromotion(const std::string &Target);
+  /// \returns The start of a target that runs under this id.
+  [[nodiscard]] std::int64_t birthOf(const std::string &Target) const;
   void promote(const std::string &Target);
   void continueTransaction(const std::string &Name, simulated_host &Simulated);
   /// Grants a lease, or renews one that has not ended.
   void renew(const std::string &Name, std::uint64_t Lease, bool IsNew);
-  void revoke(std::uint64_t Lease);
+  void revoke(const std::string &Name, std::uint64_t Lease);
   /// Makes a change if its condition holds.
   change_outcome apply(const effects::change_records &Change);
   /// The records that a change expects, as far as they exist.
@@ -134,6 +186,7 @@
   void erase(const std::string &Key);
   void endLeases();
   void checkRules();
+  void carryOut(const std::string &Name, const effects::probe_target &Probe);
   [[nodiscard]] std::optional<target_status>
   statusOf(const std::string &Target) const;
   [[nodiscard]] std::vector<target_entry> entries() const;
--- a/tests/proxy/simulated_reads.cpp
+++ b/tests/proxy/simulated_reads.cpp
@@ -92,9 +92,16 @@
   };
   Fleet.OnPromotion = [this, Targets = std::move(Fleet.OnPromotion)](
                           const std::string &Target) {
-    noteText("promoted " + Target);
+    noteText("promoted " + Target + ", term " + std::to_string(Fleet.Term));
     Targets(Target);
   };
+  Fleet.OnOrder = [this](const std::string &Host,
+                         const effects::order_promotion &Order,
+                         order_fate Fate) {
+    noteText(Host + " orders " + Order.Target + " with token " +
+             std::to_string(Order.FencingToken) + ": " +
+             std::string(enumName(Fate)));
+  };
   for (std::size_t Number = 0; Number < CallerCount; ++Number)
     Callers.emplace_back().Number = Number;
 }
@@ -363,13 +370,12 @@
 }
 
 void simulated_reads::noteText(std::string Text) {
+  if (!Fleet.Violations.empty())
+    return;
   Trace.push_back(elapsedMsText(instant(1000s), Fleet.Now) + ' ' +
                   std::move(Text));
 }
 
-void simulated_reads::report(const std::string &Text) {
-  Fleet.Violations.push_back(elapsedMsText(instant(1000s), Fleet.Now) + ' ' +
-                             Text);
-}
+void simulated_reads::report(const std::string &Text) { Fleet.report(Text); }
 
 } // namespace session_test
--- a/tests/proxy/simulated_reads.hpp
+++ b/tests/proxy/simulated_reads.hpp
@@ -61,6 +61,8 @@
   simulated_reads &operator=(const simulated_reads &) = delete;
   void advanceTime(duration Span);
   void restartHost(const std::string &Name);
+  /// \brief Adds a line to the trace.
+  void noteText(std::string Text);
 
 private:
   void carryOut(const std::string &Host, const effect &Effect);
@@ -75,7 +77,6 @@
   void checkRead(const std::string &Id, const std::string &Target);
   void acknowledge(const simulated_caller &Caller);
   void note(const std::string &Host, const effects::write_log &Line);
-  void noteText(std::string Text);
   void report(const std::string &Text);
 };
 
--- a/tests/proxy/simulated_reads_tests.cpp
+++ b/tests/proxy/simulated_reads_tests.cpp
@@ -1,9 +1,6 @@
 /// No read lacks a commit that it must show, in fleets whose targets lag, fail
 /// and are replaced while hosts are suspended and restarted.
-#include "simulated_reads.hpp"
-
-#include <cstdlib>
-#include <iostream>
+#include "simulated_runs.hpp"
 
 using namespace session_test;
 
@@ -13,137 +10,19 @@
 /// docs/incidents/stale-read.md.
 constexpr unsigned FirstSeed = 95;
 constexpr unsigned Seeds = 50;
-constexpr std::size_t HostCount = 5;
-constexpr std::size_t CallerCount = 16;
-constexpr int TroubleSeconds = 25;
-
-/// A number from the environment, for longer runs by hand.
-unsigned environmentNumber(const char *Name, unsigned Otherwise) {
-  const char *Text = std::getenv(Name);
-  return Text == nullptr ? Otherwise : static_cast<unsigned>(std::stoul(Text));
-}
-
-std::string drawHost(simulated_fleet &Fleet) {
-  return "host-" + std::to_string(1 + Fleet.Random() % HostCount);
-}
-
-std::string drawTarget(simulated_fleet &Fleet) {
-  return std::string(1, static_cast<char>('a' + Fleet.Random() % 3));
-}
-
-void disturbTargets(simulated_reads &Reads) {
-  simulated_fleet &Fleet = Reads.Fleet;
-  for (auto &[Id, Target] : Reads.Targets.Targets) {
-    if (Fleet.Now >= Target.LagsUntil) {
-      const bool Lags = Fleet.draw() < 0.4;
-      Target.ApplyDelay = Lags ? Fleet.drawSpan(300ms, 4s) : duration(60ms);
-      Target.LagsUntil = Fleet.Now + Fleet.drawSpan(2s, 8s);
-    }
-    if (Fleet.draw() < 0.07)
-      Target.DeafUntil = Fleet.Now + Fleet.drawSpan(500ms, 4s);
-    if (Fleet.draw() < 0.15)
-      Target.SlowUntil = Fleet.Now + Fleet.drawSpan(500ms, 3s);
-  }
-  const std::string Id = drawTarget(Fleet);
-  const bool IsRunning = Reads.Targets.Targets.at(Id).IsRunning;
-  if (IsRunning && Fleet.draw() < 0.08)
-    Reads.Targets.crash(Id);
-  else if (!IsRunning && Fleet.draw() < 0.7)
-    Reads.Targets.restart(Id, Fleet.draw() < 0.5 ? 1 : Fleet.draw());
-}
-
-void disturbHosts(simulated_reads &Reads) {
-  simulated_fleet &Fleet = Reads.Fleet;
-  if (Fleet.draw() < 0.3)
-    Fleet.suspendHost(drawHost(Fleet), Fleet.drawSpan(100ms, 4s));
-  if (Fleet.draw() < 0.08 && Fleet.Now >= Fleet.StoreDownUntil)
-    Reads.restartHost(drawHost(Fleet));
-  if (Fleet.draw() < 0.2)
-    Fleet.Hosts.at(drawHost(Fleet)).WatchSilentUntil =
-        Fleet.Now + Fleet.drawSpan(500ms, 4s);
-  Fleet.WatchLag = Fleet.draw() < 0.3 ? duration(1500ms) : duration(100ms);
-}
-
-void disturbStore(simulated_reads &Reads) {
-  simulated_fleet &Fleet = Reads.Fleet;
-  if (Fleet.draw() < 0.04 && Fleet.Now >= Fleet.StoreDownUntil)
-    Fleet.interruptStore(Fleet.drawSpan(3s, 8s), Fleet.draw() < 0.5);
-}
-
-/// Each second some of the hosts, targets and the store are disturbed, and
-/// every few seconds the primary is to be replaced.
-void runTrouble(simulated_reads &Reads) {
-  simulated_fleet &Fleet = Reads.Fleet;
-  for (int Second = 0; Second < TroubleSeconds; ++Second) {
-    if (Second % 4 == 0)
-      Fleet.listTargets({Fleet.Leader});
-    if (Second % 4 == 3)
-      Fleet.listTargets({});
-    Fleet.PromotionTime = Fleet.drawSpan(200ms, 1s);
-    disturbTargets(Reads);
-    disturbHosts(Reads);
-    disturbStore(Reads);
-    Reads.advanceTime(1s);
-  }
-}
-
-struct run_totals {
-  std::size_t Promotions = 0;
-  std::size_t Reads = 0;
-  std::size_t ReplicaReads = 0;
-  std::size_t Commits = 0;
-};
-
-/// Prints violations with the log lines before them, and the run's counts.
-void printTrace(unsigned Seed, const simulated_reads &Reads) {
-  if (!Reads.Fleet.Violations.empty())
-    for (const std::string &Line : Reads.Trace)
-      std::cerr << Line << '\n';
-  for (const std::string &Violation : Reads.Fleet.Violations)
-    std::cerr << "seed " << Seed << ' ' << Violation << '\n';
-  std::cerr << "seed " << Seed << " promotions " << Reads.Fleet.Promotions
-            << " reads " << Reads.Targets.Reads << " on replicas "
-            << Reads.Targets.ReplicaReads << " commits "
-            << Reads.Acknowledged.size() << " answered " << Reads.Answered;
-  for (const auto &[Code, Count] : Reads.Refusals)
-    std::cerr << ' ' << Code << ' ' << Count;
-  std::cerr << '\n';
-}
-
-void runFleet(unsigned Seed, bool Owned, run_totals &Totals) {
-  INFO("seed " << Seed);
-  simulated_reads Reads(Seed, HostCount, CallerCount, Owned, Seed % 2);
-  Reads.advanceTime(4s);
-  Reads.Fleet.Faults = {0.03, 0.03, 0.03};
-  Reads.Fleet.SlowOrders = 0.2;
-  Reads.Fleet.SlowAnswers = 0.1;
-  Reads.Targets.LostAnswers = 0.005;
-  Reads.Targets.Busy = 0.01;
-  runTrouble(Reads);
-  for (const std::string &Violation : Reads.Fleet.Violations)
-    UNSCOPED_INFO(Violation);
-  CHECK(Reads.Fleet.Violations.empty());
-  if (std::getenv("BRONZESPAR_TRACE") != nullptr)
-    printTrace(Seed, Reads);
-  Totals.Promotions += Reads.Fleet.Promotions;
-  Totals.Reads += Reads.Targets.Reads;
-  Totals.ReplicaReads += Reads.Targets.ReplicaReads;
-  Totals.Commits += Reads.Acknowledged.size();
-}
 
-run_totals runFleets(bool Owned) {
-  const unsigned First = environmentNumber("BRONZESPAR_FIRST_SEED", FirstSeed);
-  const unsigned Count = environmentNumber("BRONZESPAR_SEEDS", Seeds);
-  run_totals Totals;
-  for (unsigned Seed = First; Seed < First + Count; ++Seed)
-    runFleet(Seed, Owned, Totals);
-  return Totals;
+run_totals runReads(bool Owned) {
+  run_plan Plan;
+  Plan.FirstSeed = FirstSeed;
+  Plan.Seeds = Seeds;
+  Plan.Owned = Owned;
+  return runFleets(Plan);
 }
 
 } // namespace
 
 TEST_CASE("No read lacks a commit that it must show") {
-  const run_totals Totals = runFleets(false);
+  const run_totals Totals = runReads(false);
   CHECK(Totals.Promotions > 0);
   CHECK(Totals.ReplicaReads * 10 > Totals.Reads);
   CHECK(Totals.Commits > 0);
@@ -151,7 +30,7 @@
 
 TEST_CASE("No read that a connection owner runs lacks a commit that it must "
           "show") {
-  const run_totals Totals = runFleets(true);
+  const run_totals Totals = runReads(true);
   CHECK(Totals.Promotions > 0);
   CHECK(Totals.ReplicaReads * 10 > Totals.Reads);
   CHECK(Totals.Commits > 0);
--- a/tests/proxy/simulated_targets.cpp
+++ b/tests/proxy/simulated_targets.cpp
@@ -1,4 +1,4 @@
-/// Logs, replication and connections of the simulated targets.
+/// Connections of the simulated targets, and what they run.
 #include "simulated_targets.hpp"
 
 #include <algorithm>
@@ -11,6 +11,10 @@
 constexpr duration LinkMin = 500us;
 constexpr duration LinkMax = 8ms;
 constexpr duration ConfirmationInterval = 5ms;
+/// A host that dials a target on a cut path gives up then.
+constexpr duration DialTimeout = 1s;
+/// A target drops a connection whose far end does not answer for this long.
+constexpr duration DarkTimeout = 3s;
 
 /// Delay of a packet; now and then it is sent again.
 duration linkDelay(simulated_fleet &Fleet) {
@@ -22,14 +26,6 @@
   return "target-" + std::to_string(Number);
 }
 
-/// Number of commits that two logs have in common at their start.
-std::size_t commonLength(const std::vector<std::size_t> &Left,
-                         const std::vector<std::size_t> &Right) {
-  const auto End =
-      std::mismatch(Left.begin(), Left.end(), Right.begin(), Right.end());
-  return static_cast<std::size_t>(std::distance(Left.begin(), End.first));
-}
-
 } // namespace
 
 simulated_targets::simulated_targets(simulated_fleet &Simulated)
@@ -61,97 +57,6 @@
                              : Commits[Target.Log[Target.Applied - 1]].Position;
 }
 
-void simulated_targets::promoted(const std::string &Id) {
-  LastPromotionAt = Fleet.Now;
-  for (auto &[Name, Target] : Targets)
-    Target.NoticesPromotionAt =
-        Fleet.Now + (Target.IsPrimary ? Fleet.drawSpan(1s, 2500ms)
-                                      : Fleet.drawSpan(10ms, 400ms));
-  simulated_target &Primary = Targets.at(Id);
-  Primary.Term = Fleet.Term;
-  Primary.IsPrimary = true;
-  Primary.Applied = Primary.Log.size();
-}
-
-void simulated_targets::rollBack(simulated_target &Target) {
-  const auto &Log = Targets.at(Fleet.Leader).Log;
-  Target.Log.resize(commonLength(Target.Log, Log));
-  Target.Applied = std::min(Target.Applied, Target.Log.size());
-  Target.Term = Fleet.Term;
-  Target.IsPrimary = false;
-}
-
-void simulated_targets::receive(const std::string &Id,
-                                simulated_target &Replica) {
-  const simulated_target &Primary = Targets.at(Fleet.Leader);
-  const std::size_t Size = Primary.Log.size();
-  if (Size <= Replica.Log.size())
-    return;
-  const std::uint64_t Term = Replica.Term;
-  const unsigned Incarnation = Replica.Incarnation;
-  const auto IsCurrent = [this, Id, Term, Incarnation] {
-    const simulated_target &Target = Targets.at(Id);
-    return Target.IsRunning && !Target.IsPrimary && Target.Term == Term &&
-           Target.Incarnation == Incarnation;
-  };
-  Fleet.Scheduled.emplace(
-      Fleet.Now + Fleet.drawSpan(1ms, 20ms), [this, Id, Size, IsCurrent] {
-        simulated_target &Target = Targets.at(Id);
-        const auto &Log = Targets.at(Fleet.Leader).Log;
-        if (!IsCurrent() || Fleet.Now < Target.DeafUntil ||
-            Target.Term != Fleet.Term)
-          return;
-        for (std::size_t Index = Target.Log.size(); Index < Size; ++Index)
-          Target.Log.push_back(Log[Index]);
-        Fleet.Scheduled.emplace(Fleet.Now + Target.ApplyDelay, [this, Id, Size,
-                                                                IsCurrent] {
-          simulated_target &Applying = Targets.at(Id);
-          if (IsCurrent())
-            Applying.Applied =
-                std::max(Applying.Applied, std::min(Size, Applying.Log.size()));
-        });
-      });
-}
-
-void simulated_targets::replicate() {
-  if (!Targets.at(Fleet.Leader).IsRunning)
-    return;
-  for (auto &[Id, Target] : Targets) {
-    if (!Target.IsRunning || Id == Fleet.Leader)
-      continue;
-    if (Target.Term < Fleet.Term && Fleet.Now >= Target.NoticesPromotionAt)
-      rollBack(Target);
-    if (Target.Term == Fleet.Term && Fleet.Now >= Target.DeafUntil)
-      receive(Id, Target);
-  }
-}
-
-void simulated_targets::crash(const std::string &Id) {
-  simulated_target &Target = Targets.at(Id);
-  Target.IsRunning = false;
-  Target.Incarnation += 1;
-  Fleet.Absent.insert(Id);
-  for (auto &[Key, Connection] : Connections)
-    if (Connection->Target == Id)
-      lose(*Connection);
-}
-
-void simulated_targets::restart(const std::string &Id, double Kept) {
-  simulated_target &Target = Targets.at(Id);
-  if (Target.IsRunning)
-    return;
-  Target.IsRunning = true;
-  Fleet.Absent.erase(Id);
-  Fleet.Births[Id] += 1;
-  if (Id != Fleet.Leader) {
-    rollBack(Target);
-    Target.Log.resize(static_cast<std::size_t>(
-        static_cast<double>(Target.Log.size()) * Kept));
-    Target.Applied = std::min(Target.Applied, Target.Log.size());
-  }
-  Fleet.announceTargets();
-}
-
 void simulated_targets::carryOut(const std::string &Host,
                                  const effect &Effect) {
   if (const auto *Dial = std::get_if<effects::open_target>(&Effect)) {
@@ -176,6 +81,11 @@
 
 void simulated_targets::dial(const std::string &Host,
                              const effects::open_target &Dial) {
+  if (Fleet.Network.toTarget(Host, Dial.Target).isCut(Fleet.Now)) {
+    Fleet.sendLater(Host, DialTimeout, events::target_lost{Dial.Connection},
+                    socketOf(Dial.Connection));
+    return;
+  }
   const simulated_target &Target = Targets.at(Dial.Target);
   const duration Delay = linkDelay(Fleet);
   if (!Target.IsRunning) {
@@ -195,14 +105,32 @@
                   socketOf(Dial.Connection));
 }
 
-void simulated_targets::lose(simulated_connection &Connection) {
+void simulated_targets::lose(simulated_connection &Connection,
+                             instant HeardFrom) {
   if (Connection.IsLost)
     return;
   Connection.IsLost = true;
   if (Fleet.Hosts.at(Connection.Host).Process == Connection.Process)
-    Fleet.sendLater(Connection.Host, linkDelay(Fleet),
-                    events::target_lost{Connection.Number},
-                    socketOf(Connection.Number));
+    Fleet.sendLater(
+        Connection.Host,
+        std::max(HeardFrom, Fleet.Now) - Fleet.Now + linkDelay(Fleet),
+        events::target_lost{Connection.Number}, socketOf(Connection.Number));
+}
+
+void simulated_targets::holdUp(
+    const std::shared_ptr<simulated_connection> &Connection, instant Until,
+    std::function<void()> Arrive) {
+  if (Until - Fleet.Now > DarkTimeout || Fleet.draw() < 0.5) {
+    lose(*Connection, Until);
+    return;
+  }
+  Connection->NextArrival = std::max(Connection->NextArrival, Until);
+  Fleet.Scheduled.emplace(Until, std::move(Arrive));
+}
+
+simulated_path
+simulated_targets::pathOf(const simulated_connection &Connection) const {
+  return Fleet.Network.toTarget(Connection.Host, Connection.Target);
 }
 
 void simulated_targets::deliver(
@@ -210,6 +138,12 @@
     const outgoing_statement &Outgoing, instant SentAt) {
   if (Connection->IsLost)
     return;
+  if (const simulated_path Path = pathOf(*Connection);
+      Path.losesCalls(Fleet.Now)) {
+    holdUp(Connection, Path.CallsCutUntil,
+           [=, this] { deliver(Connection, Outgoing, SentAt); });
+    return;
+  }
   // A host that has closed its connection may have sent a statement before.
   const std::size_t Before = Commits.size();
   const answer Answer = run(*Connection, Outgoing, SentAt);
@@ -245,8 +179,14 @@
     const std::shared_ptr<simulated_connection> &Connection,
     const answer &Answer) {
   const simulated_host &Host = Fleet.Hosts.at(Connection->Host);
-  if (Host.Process != Connection->Process)
+  if (Connection->IsLost || Host.Process != Connection->Process)
     return;
+  if (const simulated_path Path = pathOf(*Connection);
+      Path.losesAnswers(Fleet.Now)) {
+    holdUp(Connection, Path.AnswersCutUntil,
+           [=, this] { sendAnswer(Connection, Answer); });
+    return;
+  }
   if (Fleet.draw() < LostAnswers) {
     if (Fleet.draw() < 0.5)
       lose(*Connection);
--- a/tests/proxy/simulated_targets.hpp
+++ b/tests/proxy/simulated_targets.hpp
@@ -26,6 +26,7 @@
   bool IsRunning = true;
   unsigned Incarnation = 1;
   instant DeafUntil{};          ///< It receives nothing.
+  instant CutOffUntil{};        ///< It does not reach other targets.
   instant LagsUntil{};          ///< Its ApplyDelay stays until then.
   duration ApplyDelay = 60ms;   ///< From receiving a commit to applying it.
   instant SlowUntil{};          ///< Its answers take up to a second.
@@ -68,6 +69,8 @@
   void carryOut(const std::string &Host, const effect &Effect);
   /// \brief Lets replicas receive; to be called every few milliseconds.
   void replicate();
+  /// \brief Cuts a target off from the others.
+  void cutOff(const std::string &Target, duration Span);
   void crash(const std::string &Target);
   /// \brief Starts a target that crashed.
   /// \param Kept Part of a replica's log that it still has.
@@ -84,7 +87,13 @@
   void dial(const std::string &Host, const effects::open_target &Dial);
   void deliver(const std::shared_ptr<simulated_connection> &Connection,
                const outgoing_statement &Outgoing, instant SentAt);
-  void lose(simulated_connection &Connection);
+  /// Breaks a connection; its host hears of that after a delay, and not before
+  /// a time.
+  void lose(simulated_connection &Connection, instant HeardFrom = {});
+  /// Lets what arrives on a cut path arrive after the cut, or breaks the
+  /// connection.
+  void holdUp(const std::shared_ptr<simulated_connection> &Connection,
+              instant Until, std::function<void()> Arrive);
   answer run(simulated_connection &Connection,
              const outgoing_statement &Outgoing, instant SentAt);
   answer_code runRead(const simulated_connection &Connection,
@@ -99,6 +108,8 @@
   void
   answerWhenConfirmed(const std::shared_ptr<simulated_connection> &Connection,
                       const answer &Answer, std::optional<std::size_t> Commit);
+  [[nodiscard]] simulated_path
+  pathOf(const simulated_connection &Connection) const;
   void sendAnswer(const std::shared_ptr<simulated_connection> &Connection,
                   const answer &Answer);
 };
