Name an order to promote in the closed record, and prove by it who leads

Cause: what an order did stays unknown until its target answers. A coordinator, or its successor, decided as if an earlier order had not been given: it took the primary of the highest term among those that answered, and gave another order while one could still be carried out. An order of the old primary counted as accepted without an answer.

The closed record names each order before it is sent, with the term in which its target led then. No other order is named while it may be carried out; a successor counts that from when it took the role. Only the target of the latest order is used, once it leads in a later term, or once the platform has accepted the order of a target that leads already.

The check 'A replica that an earlier order promoted is used' said what is wrong: it is replaced by two, one with the order named and one without.

--- a/src/proxy/candidates.cpp
+++ b/src/proxy/candidates.cpp
@@ -149,12 +149,16 @@
   return countCovered(State, Name, Group, Candidate) >= Needed;
 }
 
-std::optional<std::string> promotedReplica(const group_state &Group) {
-  for (const auto &[Id, Status] : Group.Promotion.Statuses)
-    if (Id != Group.Record->Primary && Status.IsPrimary &&
-        Status.Term == latestTerm(Group))
-      return Id;
-  return std::nullopt;
+bool leadsByLatestOrder(const group_state &Group, instant Now) {
+  const auto &Order = Group.Record->LatestOrder;
+  const target_status *Status =
+      Order ? findIn(Group.Promotion.Statuses, Order->Target) : nullptr;
+  if (Status == nullptr || !Status->IsPrimary)
+    return false;
+  // An order of the target that leads changes nothing.
+  const bool StillLeads =
+      Group.Promotion.IsOrderAccepted && Now >= Group.OrderUnderWayUntil;
+  return Status->Term > Order->LedTerm || StillLeads;
 }
 
 std::string describeStatuses(const host &State,
--- a/src/proxy/coordinator.cpp
+++ b/src/proxy/coordinator.cpp
@@ -38,6 +38,7 @@
 void takeRole(step_context &Step) {
   coordinator_state &Role = Step.State.Coordinator;
   Role.IsHeld = true;
+  Role.HeldSince = Step.Now;
   Role.FencingToken = Role.Revision;
   Role.OrdersFrom = std::max(Role.OrdersFrom, Step.Now + MaxOrderDelay);
   logLine(Step, "duty.held", {{"token", std::to_string(Role.FencingToken)}});
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -304,10 +304,10 @@
                                             const group_state &Group,
                                             const target_status &Candidate,
                                             instant Now);
-/// \brief The replica that became primary by an earlier order. A primary of an
-/// earlier term still calls itself one while it cannot reach its successor.
-[[nodiscard]] std::optional<std::string>
-promotedReplica(const group_state &Group);
+/// \brief Whether the target of the order that the record names answers, and is
+/// proved to lead by it. \remarks A target that leads by an earlier order, or
+/// led before, calls itself primary while it cannot reach its successor.
+[[nodiscard]] bool leadsByLatestOrder(const group_state &Group, instant Now);
 /// \brief What the group's targets answered, for the log.
 [[nodiscard]] std::string describeStatuses(const host &State,
                                            const promotion_state &Promotion);
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -8,6 +8,10 @@
 /// writes the closed record itself, also when it finds it closed: the write
 /// changes the revision, so that no earlier change can open the record after
 /// the order.
+///
+/// The closed record names each order before it is sent. So a coordinator knows
+/// the latest order that may have been carried out, whoever gave it, and uses
+/// no target but that order's (docs/design/promotion-orders.md).
 #include "parts.hpp"
 
 #include <algorithm>
@@ -22,8 +26,8 @@
 constexpr duration ProbeInterval = std::chrono::milliseconds(40);
 /// A replica is never primary sooner than this after the order.
 constexpr duration MinPromotionTime = std::chrono::milliseconds(300);
-/// A replica is never promoted later than this after the order. Another order
-/// before that could make two primaries.
+/// A replica is never promoted later than this after the order was decided.
+/// Another order before that could make two primaries.
 constexpr duration MaxPromotionTime = std::chrono::milliseconds(3500);
 /// An order that was not sent by then is decided anew. MaxPromotionTime counts
 /// from the decision, so that the wait must be a small part of it.
@@ -148,7 +152,7 @@
   changeRecord(Step, Name, Group, Group.Revision,
                {Generation, Group.Record->Primary, false,
                 Group.Record->Electors, Group.Promotion.ReplacesElectors,
-                Group.Record->Term});
+                Group.Record->Term, Group.Record->LatestOrder});
 }
 
 /// Starts a promotion if the group needs another primary and has a replica.
@@ -229,6 +233,7 @@
   Promotion.Statuses.clear();
   Promotion.PendingProbes.clear();
   Promotion.ProbeCall = nextNumber(Step.State);
+  Promotion.ProbesSentAt = Step.Now;
   for (const auto &[Id, Target] : Step.State.Targets) {
     if (!Target.Listed || Target.Entry.Group != Name)
       continue;
@@ -245,6 +250,7 @@
                                  ? std::max(Status->Term, Group.Record->Term)
                                  : Group.Record->Term;
   Group.Promotion.Candidate = Primary;
+  Group.OrderUnderWayUntil = {};
   logLine(Step, "promotion.opening",
           {{"group", Name},
            {"primary", Primary},
@@ -336,8 +342,10 @@
   probeMembers(Step, Name, Group);
 }
 
-void orderPromotion(step_context &Step, const std::string &Name,
-                    group_state &Group, std::string Candidate) {
+/// Writes the closed record with the order, which is sent once the store has
+/// confirmed that.
+void nameOrder(step_context &Step, const std::string &Name, group_state &Group,
+               std::string Candidate) {
   logLine(
       Step, "promotion.chosen",
       {{"group", Name},
@@ -345,23 +353,47 @@
        {"primary", Group.Record->Primary},
        {"statuses", describeStatuses(Step.State, Group.Promotion)},
        {"unanswered", std::to_string(Group.Promotion.PendingProbes.size())}});
+  const target_status &Status = Group.Promotion.Statuses.at(Candidate);
+  group_record Record = *Group.Record;
+  Record.LatestOrder = {Candidate, Status.IsPrimary ? Status.Term : 0};
   Group.Promotion.Candidate = std::move(Candidate);
-  enterStage(Step, Name, Group, promotion_stage::Ordered);
-  Group.Promotion.NextTryAt = Step.Now + MinPromotionTime;
-  Group.Promotion.ProbeCall = nextNumber(Step.State);
-  Group.Promotion.Statuses.clear();
-  Group.Promotion.OrderCall = nextNumber(Step.State);
-  Step.Out.push_back(effects::order_promotion{
-      Group.Promotion.OrderCall, Name, Group.Promotion.Candidate,
-      Step.State.Identity.Name, Step.State.Coordinator.FencingToken, Step.Now,
-      Step.Now + MaxOrderWait});
+  Group.Promotion.IsOrderAccepted = false;
+  enterStage(Step, Name, Group, promotion_stage::Naming);
+  changeRecord(Step, Name, Group, Group.Promotion.ClosedRevision, Record);
+}
+
+void chooseAgain(step_context &Step, const std::string &Name,
+                 group_state &Group) {
+  enterStage(Step, Name, Group, promotion_stage::Choosing);
+  probeMembers(Step, Name, Group);
 }
 
 /// Whether an order may leave this host now.
 bool mayOrderNow(const step_context &Step, const group_state &Group) {
   return isCoordinator(Step.State, Step.Now) &&
          Step.Now >= Step.State.Coordinator.OrdersFrom &&
-         Step.Now >= Group.Promotion.OrderNotBefore;
+         Step.Now >= Group.Promotion.OrderNotBefore &&
+         Step.Now >= Group.OrderUnderWayUntil;
+}
+
+/// Sends the order that the record names at the given revision.
+void sendOrder(step_context &Step, const std::string &Name, group_state &Group,
+               std::uint64_t ClosedRevision) {
+  promotion_state &Promotion = Group.Promotion;
+  Promotion.ClosedRevision = ClosedRevision;
+  if (!mayOrderNow(Step, Group)) {
+    chooseAgain(Step, Name, Group);
+    return;
+  }
+  enterStage(Step, Name, Group, promotion_stage::Ordered);
+  Promotion.NextTryAt = Step.Now + MinPromotionTime;
+  Promotion.ProbeCall = nextNumber(Step.State);
+  Promotion.Statuses.clear();
+  Promotion.OrderCall = nextNumber(Step.State);
+  Group.OrderUnderWayUntil = Step.Now + MaxPromotionTime;
+  Step.Out.push_back(effects::order_promotion{
+      Promotion.OrderCall, Name, Promotion.Candidate, Step.State.Identity.Name,
+      Step.State.Coordinator.FencingToken, Step.Now, Step.Now + MaxOrderWait});
 }
 
 /// Whether the old primary answers and lacks no acknowledged commit.
@@ -375,16 +407,16 @@
 }
 
 /// Probes the targets again, and returns to the old primary when no replica
-/// can be promoted in time. If a replica may lead that does not answer, the old
-/// primary is ordered to lead the next term: it may not know of the replica.
+/// can be promoted in time. After an order, another target may lead that does
+/// not answer, so that the old primary is ordered to lead the next term.
 void awaitReplica(step_context &Step, const std::string &Name,
                   group_state &Group, duration Timeout) {
   const bool IsOver = Step.Now > Group.Promotion.StageSince + Timeout;
-  if (IsOver && Group.Promotion.MayBeCarriedOut) {
+  if (IsOver && Group.Record->LatestOrder) {
     if (canReturn(Step, Name, Group) && mayOrderNow(Step, Group)) {
       Group.NextPlannedChangeAt =
           Step.Now + MaxPromotionTime + PlannedRetryDelay;
-      orderPromotion(Step, Name, Group, std::string(Group.Record->Primary));
+      nameOrder(Step, Name, Group, std::string(Group.Record->Primary));
     } else if (Step.Now >= Group.Promotion.NextTryAt) {
       probeMembers(Step, Name, Group);
     }
@@ -414,8 +446,14 @@
   if (!Promotion.PendingProbes.empty() && !OnlyOldMissing &&
       Step.Now < Promotion.NextTryAt)
     return;
-  if (const auto Promoted = promotedReplica(Group)) {
-    openRecord(Step, Name, Group, *Promoted);
+  if (leadsByLatestOrder(Group, Step.Now)) {
+    openRecord(Step, Name, Group, Group.Record->LatestOrder->Target);
+    return;
+  }
+  // The term that an order names has to be one that no earlier order changes.
+  if (Promotion.ProbesSentAt < Group.OrderUnderWayUntil) {
+    if (Step.Now >= Promotion.ProbesSentAt + ProbeInterval)
+      probeMembers(Step, Name, Group);
     return;
   }
   const auto Old = Promotion.Statuses.find(OldPrimary);
@@ -440,26 +478,18 @@
     return;
   }
   if (mayOrderNow(Step, Group))
-    orderPromotion(Step, Name, Group, Best->first);
+    nameOrder(Step, Name, Group, Best->first);
 }
 
 void awaitPromotion(step_context &Step, const std::string &Name,
                     group_state &Group) {
   promotion_state &Promotion = Group.Promotion;
-  const target_status *Status = findIn(Promotion.Statuses, Promotion.Candidate);
-  // The old primary may call itself primary before the order is carried out.
-  const duration LeadsAfter = Promotion.Candidate == Group.Record->Primary
-                                  ? MaxPromotionTime
-                                  : MinPromotionTime;
-  if (Status != nullptr && Status->IsPrimary &&
-      Step.Now >= Promotion.StageSince + LeadsAfter) {
-    openRecord(Step, Name, Group, Promotion.Candidate);
+  if (Step.Now >= Group.OrderUnderWayUntil) {
+    chooseAgain(Step, Name, Group);
     return;
   }
-  if (Step.Now > Promotion.StageSince + MaxPromotionTime) {
-    Promotion.MayBeCarriedOut = true;
-    enterStage(Step, Name, Group, promotion_stage::Choosing);
-    probeMembers(Step, Name, Group);
+  if (leadsByLatestOrder(Group, Step.Now)) {
+    openRecord(Step, Name, Group, Promotion.Candidate);
     return;
   }
   if (Step.Now < Promotion.NextTryAt)
@@ -494,11 +524,13 @@
     return;
   }
   // A previous coordinator left the record closed, or an earlier change of it
-  // was not confirmed. If it was closed to replace electors, no promotion was
-  // ordered, and the primary may be used again.
+  // was not confirmed. The previous one gave its orders while it had the role.
+  if (Group.Record->LatestOrder)
+    Group.OrderUnderWayUntil =
+        std::max(Group.OrderUnderWayUntil,
+                 Step.State.Coordinator.HeldSince + MaxPromotionTime);
   Group.Promotion = {};
   Group.Promotion.ReplacesElectors = Group.Record->PrimaryStays;
-  Group.Promotion.MayBeCarriedOut = !Group.Record->PrimaryStays;
   Group.Promotion.StartedAt = Step.Now;
   Group.Promotion.OrderNotBefore = revokedLeasesEnd(Step.State);
   closeRecord(Step, Name, Group);
@@ -519,7 +551,8 @@
 }
 
 bool isOrderUnderWay(const promotion_state &Promotion) {
-  return Promotion.Stage == promotion_stage::Ordered ||
+  return Promotion.Stage == promotion_stage::Naming ||
+         Promotion.Stage == promotion_stage::Ordered ||
          Promotion.Stage == promotion_stage::Opening;
 }
 
@@ -530,6 +563,7 @@
     considerGroup(Step, Name, Group);
     return;
   case promotion_stage::Closing:
+  case promotion_stage::Naming:
   case promotion_stage::Opening:
     return;
   case promotion_stage::Gathering:
@@ -582,15 +616,13 @@
       Group.NextChangeAt = Step.Now + RecordRetryDelay;
       return true;
     }
-    const bool Closing = Promotion.Stage == promotion_stage::Closing;
-    const bool Creating = Promotion.Stage == promotion_stage::None;
     recordChanged(Step,
                   {groupKey(Name), Promotion.ChangeValue, Event.Revision, 0});
-    if (Creating)
-      return true;
-    if (Closing)
+    if (Promotion.Stage == promotion_stage::Closing)
       beginGathering(Step, Name, Group, Event.Revision);
-    else
+    else if (Promotion.Stage == promotion_stage::Naming)
+      sendOrder(Step, Name, Group, Event.Revision);
+    else if (Promotion.Stage == promotion_stage::Opening)
       enterStage(Step, Name, Group, promotion_stage::None);
     return true;
   }
@@ -651,14 +683,15 @@
           {{"group", Event.Group},
            {"candidate", Group->Promotion.Candidate},
            {"outcome", std::string(enumName(Event.Outcome))}});
+  Group->Promotion.IsOrderAccepted = Event.Outcome == order_outcome::Accepted;
   if (Event.Outcome == order_outcome::Accepted ||
       Event.Outcome == order_outcome::Unanswered)
     return;
   if (Event.Outcome == order_outcome::NotRunning)
     Group->Promotion.RefusedCandidates.insert(Group->Promotion.Candidate);
   Group->Promotion.OrderNotBefore = Step.Now + OrderRetryDelay;
-  enterStage(Step, Event.Group, *Group, promotion_stage::Choosing);
-  probeMembers(Step, Event.Group, *Group);
+  Group->OrderUnderWayUntil = {};
+  chooseAgain(Step, Event.Group, *Group);
 }
 
 } // namespace bronzespar::proxy
--- a/src/proxy/records.cpp
+++ b/src/proxy/records.cpp
@@ -30,6 +30,33 @@
   return Primaries;
 }
 
+/// The field `order` of a closed record: null when no order was sent.
+json::value toValue(const std::optional<named_order> &Order) {
+  if (!Order)
+    return nullptr;
+  return json::object{{"target", Order->Target}, {"led_term", Order->LedTerm}};
+}
+
+/// A closed record without the field was written by a host of an earlier
+/// version, which did not name its orders.
+std::optional<named_order> latestOrderOf(const json::object &Object) {
+  const json::value *Field = Object.if_contains("order");
+  if (Field != nullptr && Field->is_null())
+    return std::nullopt;
+  named_order Order;
+  if (Field == nullptr || !Field->is_object())
+    return Order;
+  const json::object &Named = Field->as_object();
+  if (const json::value *Target = Named.if_contains("target");
+      Target != nullptr && Target->is_string())
+    Order.Target = std::string_view(Target->as_string());
+  if (const auto LedTerm = toUnsigned(Named.if_contains("led_term")))
+    Order.LedTerm = *LedTerm;
+  else
+    Order.Target.clear();
+  return Order;
+}
+
 } // namespace
 
 bool hasAcknowledged(const host_record &Record, const std::string &Group,
@@ -49,6 +76,8 @@
     Object["primary_stays"] = true;
   if (Record.Term > 0)
     Object["term"] = Record.Term;
+  if (!Record.Open && !Record.PrimaryStays)
+    Object["order"] = toValue(Record.LatestOrder);
   return json::serialize(Object);
 }
 
@@ -85,6 +114,8 @@
   if (const json::value *Stays = Object->if_contains("primary_stays"))
     Record.PrimaryStays = Stays->is_bool() && Stays->as_bool();
   Record.Term = toUnsigned(Object->if_contains("term")).value_or(0);
+  if (!Record.Open && !Record.PrimaryStays)
+    Record.LatestOrder = latestOrderOf(*Object);
   if (const json::value *List = Object->if_contains("electors");
       List != nullptr && List->is_array())
     for (const json::value &Elector : List->as_array())
--- a/src/proxy/records.hpp
+++ b/src/proxy/records.hpp
@@ -18,6 +18,15 @@
 inline constexpr std::string_view GroupsPrefix = "groups/";
 inline constexpr std::string_view CoordinatorKey = "duty";
 
+/// \brief An order to promote a target, as a closed record names it before the
+/// order is sent.
+struct named_order {
+  std::string Target; ///< Empty: an order that is not known may have been sent.
+  /// Term in which the target called itself primary when it was chosen; 0: it
+  /// was a replica. It leads by this order once it leads in a later term.
+  std::uint64_t LedTerm = 0;
+};
+
 /// \brief Which target is a group's primary, and whether hosts may use it.
 struct group_record {
   std::uint64_t Generation = 0; ///< Increases with each change.
@@ -29,6 +38,9 @@
   /// ordered, and the primary is used again when the record is opened.
   bool PrimaryStays = false;
   std::uint64_t Term = 0; ///< In which the primary leads; 0: not known.
+  /// The latest order since the record was closed. None: no order was sent, so
+  /// that the primary still leads.
+  std::optional<named_order> LatestOrder = {};
 };
 
 /// \brief A live host. The store removes the record when its lease ends.
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -180,10 +180,11 @@
   Closing,   ///< The closed record is being written.
   Gathering, ///< Waiting until every host stopped using the old primary.
   Choosing,  ///< Probing targets for their positions and roles.
+  Naming,    ///< The order is being named in the closed record.
   Ordered,   ///< Waiting until the chosen replica is primary.
   Opening    ///< The open record is being written.
 };
-BOOST_DESCRIBE_ENUM(promotion_stage, None, Closing, Gathering, Choosing,
+BOOST_DESCRIBE_ENUM(promotion_stage, None, Closing, Gathering, Choosing, Naming,
                     Ordered, Opening)
 
 /// \brief A change of a group's record that this host runs as coordinator.
@@ -198,6 +199,7 @@
   /// Number of the latest round of probes. Answers to other probes, of an
   /// earlier round or of a witness, do not count.
   call_number ProbeCall = 0;
+  instant ProbesSentAt{};              ///< When that round began.
   std::set<std::string> PendingProbes; ///< Targets that have not answered it.
   call_number OrderCall = 0;           ///< Of the order to promote Candidate.
   call_number ChangeCall = 0;
@@ -213,9 +215,8 @@
   /// leases that the previous coordinator revoked.
   instant OrderNotBefore{};
   std::map<std::string, target_status> Statuses;
-  /// A replica may lead, as an order may have been carried out since the record
-  /// was closed. The old primary is then not used again on its own word.
-  bool MayBeCarriedOut = false;
+  /// The platform has accepted the order that the record names.
+  bool IsOrderAccepted = false;
   /// Replicas that do not run, as the platform told.
   std::set<std::string> RefusedCandidates;
   std::string Candidate;
@@ -250,6 +251,8 @@
   instant ReplicaReadAt{};
   instant PositionAskedAt{}; ///< Latest request for the primary's position.
   promotion_state Promotion;
+  /// Until then, the order that the closed record names may be carried out.
+  instant OrderUnderWayUntil{};
   /// Targets that have left the list, by id; see candidates.cpp.
   std::map<std::string, departed_target> Departed;
   instant NextPlannedChangeAt{}; ///< No planned promotion begins before then.
@@ -319,6 +322,7 @@
   std::uint64_t Revision = 0;
   std::uint64_t HolderLease = 0; ///< Lease that the role's key is bound to.
   bool IsHeld = false;
+  instant HeldSince{}; ///< When this host took the role.
   std::uint64_t FencingToken = 0;
   /// Orders of the previous coordinator have arrived by then, and leases that
   /// this host revoked have ended on their hosts' clocks.
--- a/tests/proxy/coordinator_driver.hpp
+++ b/tests/proxy/coordinator_driver.hpp
@@ -45,6 +45,20 @@
                                        ++Driver.Revision});
 }
 
+/// Lets the store confirm the closed record that names an order, if the
+/// coordinator has just requested that. Other changes are left.
+inline void confirmNamedOrder(host_driver &Driver) {
+  const auto &Promotion = Driver.Host->Groups.at(Group).Promotion;
+  if (Promotion.Stage != promotion_stage::Naming)
+    return;
+  for (auto &Change : Driver.takeEffects<effects::change_records>())
+    if (Change.Call == Promotion.ChangeCall)
+      Driver.send(events::change_ended{Change.Call, change_outcome::Done,
+                                       ++Driver.Revision});
+    else
+      Driver.Effects.emplace_back(std::move(Change));
+}
+
 /// Answers the reads of the hosts: this host is the only one, and it has
 /// acknowledged the closed generation.
 inline void acknowledgeClosure(host_driver &Driver, std::uint64_t Generation) {
@@ -75,7 +89,8 @@
 }
 
 /// Lets the coordinator go on for a while. This host is the only one, it has
-/// acknowledged every closure, and the targets that Statuses names answer.
+/// acknowledged every closure, the targets that Statuses names answer, and the
+/// store confirms orders that are named.
 inline void
 runCoordinator(host_driver &Driver, duration Span,
                const std::map<std::string, target_status> &Statuses) {
@@ -85,6 +100,7 @@
     Driver.advanceTime(20ms);
     acknowledgeClosure(Driver, 100);
     answerProbes(Driver, Statuses);
+    confirmNamedOrder(Driver);
   }
 }
 
--- a/tests/proxy/promotion_tests.cpp
+++ b/tests/proxy/promotion_tests.cpp
@@ -123,9 +123,23 @@
   CHECK_FALSE(openedPrimary(Driver));
 }
 
-TEST_CASE("A replica that an earlier order promoted is used") {
+TEST_CASE("A replica that the order of a previous coordinator promoted is "
+          "used") {
   host_driver Driver;
   becomeCoordinator(Driver);
+  group_record Closed{2, "a", false, Driver.Electors};
+  Closed.LatestOrder = {"c", 0};
+  Driver.send(
+      events::record_changed{{std::string(GroupsPrefix) + Group,
+                              formatRecord(Closed), ++Driver.Revision, 0}});
   chooseAmong(Driver, {{"b", {false, {1, 90}, 1}}, {"c", {true, {2, 3}, 2}}});
   CHECK(openedPrimary(Driver) == "c");
 }
+
+TEST_CASE("A replica that leads without a named order is not used at once") {
+  // Another target may lead in a later term and be silent.
+  host_driver Driver;
+  becomeCoordinator(Driver);
+  chooseAmong(Driver, {{"b", {false, {1, 90}, 1}}, {"c", {true, {2, 3}, 2}}});
+  CHECK_FALSE(openedPrimary(Driver));
+}
