--- a/tests/platform/http_link_tests.cpp
+++ b/tests/platform/http_link_tests.cpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <functional>
+#include <thread>
 #include <vector>
 
 namespace {
@@ -18,6 +19,9 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+/// Length of a text that the buffers of a connection don't hold.
+constexpr std::size_t MoreThanBuffers = std::size_t{32} << 20;
+
 /// A server that accepts connections and never answers.
 struct unresponsive_server {
   asio::io_context Io;
@@ -76,6 +80,24 @@
   CHECK(Server.End == asio::error::connection_reset);
 }
 
+TEST_CASE("A call is discarded while its process is suspended") {
+  // Guards against an outdated order to promote: its host was suspended after
+  // it had written the order, which the network then delivered seconds later.
+  unresponsive_server Server;
+  asio::io_context Suspended;
+  http_link Link(Suspended, Server.where());
+  http_call Call = callWithTimeout(100ms);
+  Call.Body.assign(MoreThanBuffers, 'x');
+  Link.call(std::move(Call), [](const http_answer &) {});
+  Suspended.run_for(50ms);
+  Server.Peer = Server.Acceptor.accept();
+  std::this_thread::sleep_for(1s);
+  Server.readUntilEnd();
+  Server.Io.run_for(2s);
+  REQUIRE(Server.Ended);
+  CHECK(Server.End == asio::error::connection_reset);
+}
+
 TEST_CASE("A call after an unanswered one uses a new connection") {
   unresponsive_server Server;
   Server.accept();
