--- a/tests/proxy/simulated_targets.cpp
+++ b/tests/proxy/simulated_targets.cpp
@@ -136,7 +136,9 @@
 void simulated_targets::deliver(
     const std::shared_ptr<simulated_connection> &Connection,
     const outgoing_statement &Outgoing, instant SentAt) {
-  if (Connection->IsLost)
+  // A connection that its host has closed ends with the target's process, too.
+  if (Connection->IsLost ||
+      Connection->Incarnation != Targets.at(Connection->Target).Incarnation)
     return;
   if (const simulated_path Path = pathOf(*Connection);
       Path.losesCalls(Fleet.Now)) {
