Have a new coordinator read the records before it gives an order

Cause: a successor told leases that its predecessor revoked by the mark in the host's record. A watch that lost its history, a peer's watch that passes on only the latest change, or the start of the process hides the mark, so that the record is seen only as removed, or never. A group whose record was open was then ordered to change its primary while the host might still use it by its own clock.

Change: a lease is revoked only while some group's record is closed, and a record is opened only once the revoked leases have ended. A record that is closed is not removed, so no watch hides it. A coordinator reads all groups and hosts after it has taken the role and orders nothing before; if a record was left closed, it orders nothing, for any group, for the length of a lease after the read. The special case of a watch that has not reached the coordinator's own token goes, with WatchedRevision.

Ruled out: counting each removal that is seen as a possible revocation: it delays the usual promotion of a data centre that is cut off by 1.6 s, and misses removals before the start of the process. A lasting mark beside the host's record: it needs an end of its own.

Cost, by reading: two reads at each change of the coordinator; its first order 1.6 s after them, instead of 0.7 s after the role, if a record was left closed.

--- a/src/proxy/coordinator.cpp
+++ b/src/proxy/coordinator.cpp
@@ -3,6 +3,12 @@
 ///
 /// The key as the store holds it decides who has the role, and not the answer
 /// to the claim: that may be lost, and the claim may be carried out late.
+///
+/// A coordinator marks a host's record before it has the store end the host's
+/// lease. Its successor may see the record only as removed. But leases are
+/// revoked only while a group's record is closed, and none is opened before
+/// they have ended on their hosts' clocks. So a new coordinator reads all
+/// records: a closed one tells that there may be such a lease, for any group.
 #include "parts.hpp"
 
 #include <algorithm>
@@ -19,6 +25,10 @@
 constexpr duration ClaimSpacing = std::chrono::milliseconds(60);
 /// Delay after a claim or a return of the role that failed.
 constexpr duration ClaimRetryDelay = std::chrono::milliseconds(300);
+/// A read of the records that is not answered in time is repeated.
+constexpr duration RecordsReadTimeout = std::chrono::milliseconds(1600);
+/// Delay after a read of the records that failed.
+constexpr duration RecordsRetryDelay = std::chrono::milliseconds(200);
 /// The lease must be valid for this much longer when an order is sent.
 constexpr duration OrderLeaseMargin = std::chrono::milliseconds(300);
 
@@ -35,12 +45,57 @@
          State.Coordinator.HolderLease == State.Lease.Id;
 }
 
+/// Reads what the previous coordinators left: they write nothing more.
+void readRecords(step_context &Step) {
+  coordinator_state &Role = Step.State.Coordinator;
+  Role.NextReadAt = Step.Now + RecordsReadTimeout;
+  Role.GroupsCall = nextNumber(Step.State);
+  Role.HostsCall = nextNumber(Step.State);
+  Step.Out.push_back(
+      effects::read_records{Role.GroupsCall, std::string(GroupsPrefix)});
+  Step.Out.push_back(
+      effects::read_records{Role.HostsCall, std::string(HostsPrefix)});
+}
+
+/// Notes whether a previous coordinator left a group's record closed. That can
+/// no longer be told once this host has written it.
+void lookForClosed(host &State) {
+  coordinator_state &Role = State.Coordinator;
+  Role.FoundClosed = Role.FoundClosed ||
+                     std::any_of(State.Groups.begin(), State.Groups.end(),
+                                 [&](const auto &Entry) {
+                                   const group_state &Group = Entry.second;
+                                   return Group.Record && !Group.Record->Open &&
+                                          Group.Revision < Role.FencingToken;
+                                 });
+}
+
+void delayOrders(step_context &Step) {
+  coordinator_state &Role = Step.State.Coordinator;
+  Role.RevokedLeasesEnd =
+      std::max(Role.RevokedLeasesEnd, Step.Now + Step.State.Lease.TimeToLive);
+  Role.OrdersFrom = std::max(Role.OrdersFrom, Role.RevokedLeasesEnd);
+}
+
+/// Decides from when on orders may be given. A host that is not listed any more
+/// was removed before now, and a mark of one that is listed is known.
+void finishReading(step_context &Step) {
+  coordinator_state &Role = Step.State.Coordinator;
+  lookForClosed(Step.State);
+  if (Role.FoundClosed)
+    delayOrders(Step);
+  Role.OrdersFrom =
+      std::max(Role.HeldSince + MaxOrderDelay, Role.RevokedLeasesEnd);
+}
+
 void takeRole(step_context &Step) {
   coordinator_state &Role = Step.State.Coordinator;
   Role.IsHeld = true;
   Role.HeldSince = Step.Now;
   Role.FencingToken = Role.Revision;
-  Role.OrdersFrom = std::max(Role.OrdersFrom, Step.Now + MaxOrderDelay);
+  Role.OrdersFrom = instant::max();
+  Role.FoundClosed = false;
+  readRecords(Step);
   logLine(Step, "duty.held", {{"token", std::to_string(Role.FencingToken)}});
 }
 
@@ -64,6 +119,16 @@
           {{"token", std::to_string(Role.FencingToken)}});
 }
 
+/// Goes on until the records were read. It runs before any change of a record.
+void superviseReading(step_context &Step) {
+  coordinator_state &Role = Step.State.Coordinator;
+  if (!Role.IsHeld || Role.OrdersFrom != instant::max())
+    return;
+  lookForClosed(Step.State);
+  if (Step.Now >= Role.NextReadAt)
+    readRecords(Step);
+}
+
 bool canClaim(const host &State) {
   return State.Lease.Id != 0 && State.Lease.GroupsRead &&
          !State.Lease.RegisteredValue.empty() && !State.Stopping;
@@ -77,16 +142,29 @@
 }
 
 void hostLeaseEnded(step_context &Step, const listed_peer &Peer) {
-  const host &State = Step.State;
+  if (Peer.Record.Revoked)
+    delayOrders(Step);
+}
+
+bool coordinatorRecordsRead(step_context &Step,
+                            const events::records_read &Event) {
   coordinator_state &Role = Step.State.Coordinator;
-  // Marks of earlier coordinators are older than this one's token.
-  const bool MayHideMark =
-      Role.IsHeld && std::max(State.WatchedRevision, State.HostsReadRevision) <
-                         Role.FencingToken;
-  if (!Peer.Record.Revoked && !MayHideMark)
-    return;
-  Role.OrdersFrom =
-      std::max(Role.OrdersFrom, Step.Now + Step.State.Lease.TimeToLive);
+  const bool OfGroups = Event.Call == Role.GroupsCall;
+  if (Event.Call == 0 || (!OfGroups && Event.Call != Role.HostsCall))
+    return false;
+  if (!Event.Answered || Event.Revision < Role.FencingToken) {
+    Role.NextReadAt = std::min(Role.NextReadAt, Step.Now + RecordsRetryDelay);
+    return true;
+  }
+  (OfGroups ? Role.GroupsCall : Role.HostsCall) = 0;
+  if (OfGroups)
+    for (const store_record &Record : Event.Records)
+      recordChanged(Step, Record);
+  else
+    replaceHosts(Step, Event.Records, Event.Revision);
+  if (Role.GroupsCall == 0 && Role.HostsCall == 0)
+    finishReading(Step);
+  return true;
 }
 
 void coordinatorChanged(step_context &Step, const store_record &Record) {
@@ -133,6 +211,7 @@
   coordinator_state &Role = State.Coordinator;
   if (State.Stopping)
     returnCoordinatorRole(Step);
+  superviseReading(Step);
   if (!Role.Holder.empty() || Role.ClaimCall != 0 || !canClaim(State)) {
     if (!Role.Holder.empty())
       Role.NextClaimAt = Step.Now + claimDelay(State);
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -1,7 +1,6 @@
 /// Dispatch of events to the parts of a session host, and its periodic tasks.
 #include "parts.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace bronzespar::proxy {
@@ -42,11 +41,6 @@
   superviseStop(Step);
 }
 
-void noteWatched(step_context &Step, std::uint64_t Revision) {
-  std::uint64_t &Watched = Step.State.WatchedRevision;
-  Watched = std::max(Watched, Revision);
-}
-
 struct event_handler {
   step_context &Step;
 
@@ -82,12 +76,8 @@
   }
   void operator()(events::record_changed &Event) {
     recordChanged(Step, Event.Record);
-    noteWatched(Step, Event.Record.Revision);
-  }
-  void operator()(events::record_removed &Event) {
-    recordRemoved(Step, Event);
-    noteWatched(Step, Event.Revision);
   }
+  void operator()(events::record_removed &Event) { recordRemoved(Step, Event); }
   void operator()(events::records_read &Event) { recordsRead(Step, Event); }
   void operator()(events::change_ended &Event) { changeEnded(Step, Event); }
   void operator()(events::lease_answered &Event) { leaseAnswered(Step, Event); }
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -265,8 +265,13 @@
 /// \brief Notes that a host's record was removed with its lease.
 /// \remarks A lease that was revoked may still be valid by its host's clock, so
 /// that no order is given for the length of a lease. A host that has registered
-/// under another one has given it up.
+/// under another one has given it up. A coordinator's own marks are known, and
+/// those of earlier ones after it has read the records.
 void hostLeaseEnded(step_context &Step, const listed_peer &Peer);
+/// \brief Takes over the records that a new coordinator has read.
+/// \returns False when another part has read them.
+[[nodiscard]] bool coordinatorRecordsRead(step_context &Step,
+                                          const events::records_read &Event);
 void superviseCoordinatorRole(step_context &Step);
 /// \brief Removes the role's key, if this host owns it, so that another host
 /// can claim the role without waiting for the end of the lease.
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -299,6 +299,8 @@
 
 void recordsRead(step_context &Step, const events::records_read &Event) {
   lease_state &Lease = Step.State.Lease;
+  if (coordinatorRecordsRead(Step, Event))
+    return;
   if (Event.Prefix == GroupsPrefix) {
     if (Event.Call != Lease.GroupsCall)
       return;
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -324,9 +324,17 @@
   bool IsHeld = false;
   instant HeldSince{}; ///< When this host took the role.
   std::uint64_t FencingToken = 0;
-  /// Orders of the previous coordinator have arrived by then, and leases that
-  /// this host revoked have ended on their hosts' clocks.
+  /// Orders of the previous coordinator have arrived by then, and revoked
+  /// leases have ended on their hosts' clocks. Not known, and instant::max(),
+  /// until the records were read since this host took the role.
   instant OrdersFrom{};
+  /// Leases that are known or suspected to be revoked have ended by then.
+  instant RevokedLeasesEnd{};
+  call_number GroupsCall = 0; ///< Pending read of the groups' records, or 0.
+  call_number HostsCall = 0;  ///< Pending read of the hosts' records, or 0.
+  instant NextReadAt{};
+  /// A previous coordinator left a group's record closed.
+  bool FoundClosed = false;
   /// Records of hosts as this host's pending changes mark them as revoked.
   std::map<call_number, store_record> PendingMarks;
   call_number ClaimCall = 0;
@@ -381,8 +389,6 @@
   std::map<std::string, host_removal> HostRemovals;
   /// Highest revision at which Hosts was read as a whole.
   std::uint64_t HostsReadRevision = 0;
-  /// Highest revision of a record that a watch has shown.
-  std::uint64_t WatchedRevision = 0;
   std::map<std::string, expired_host> ExpiredHosts;
   waiting_queue Waiting;
   std::map<forward_origin, session_number> ForwardSessions;
--- a/tests/proxy/coordinator_driver.hpp
+++ b/tests/proxy/coordinator_driver.hpp
@@ -7,6 +7,20 @@
 
 namespace session_test {
 
+/// Answers the reads of a host that has just become the coordinator: the store
+/// holds the hosts that it knows, and no closed record of a group.
+inline void answerRoleReads(host_driver &Driver) {
+  for (const auto &Read : Driver.takeEffects<effects::read_records>()) {
+    events::records_read Answer{Read.Call, Read.Prefix, {}, true, 0};
+    if (Read.Prefix == HostsPrefix)
+      for (const auto &[Name, Peer] : Driver.Host->Hosts)
+        Answer.Records.push_back({"hosts/" + Name, formatRecord(Peer.Record),
+                                  Peer.Revision, Peer.Lease});
+    Answer.Revision = ++Driver.Revision;
+    Driver.send(Answer);
+  }
+}
+
 /// Makes the host the coordinator and lets it give orders.
 inline void becomeCoordinator(host_driver &Driver) {
   Driver.becomeReady();
@@ -21,6 +35,7 @@
     if (Change.Writes.front().Key == CoordinatorKey)
       Driver.send(events::change_ended{Change.Call, change_outcome::Done,
                                        ++Driver.Revision});
+  answerRoleReads(Driver);
   Driver.advanceTime(800ms);
   Driver.grantLease(7);
   Driver.Effects.clear();
