Replace a record's primary that answers but does not lead

Cause: an order to promote that is carried out late may make another target lead after the record was opened. The record's primary goes on answering, as a replica or, until it reaches its successor, as a primary. What targets show of that (a later term in positions and statuses, a write that is refused as by a replica) had no consequence.

A host that sees a later term than the record names at any target of the group, or whose statement under the present generation the record's primary itself refuses as a replica, uses that primary no more, gives no vote for it, and answers a commit that it still completes as in doubt. The host's record names the disproved generation ("disproved"), and one such report makes the coordinator close the record and order a promotion although it reaches the primary, also if no replica is listed. The old primary is then used again only after an order. A proof is void with the next generation, unless that names an earlier term, too; a report of an earlier generation counts for nothing. Hook in considerChange of promotion.cpp: Disproved counts as Unreachable, passes over replicaListed, and the closed record names an order that is not known, so that no coordinator uses the old primary without an order.

--- a/src/proxy/connections.cpp
+++ b/src/proxy/connections.cpp
@@ -280,6 +280,17 @@
     forgetConnection(Step, Number);
 }
 
+/// A commit at a primary that does not lead may be lost, whatever it answers.
+void doubtCommit(const host &State, const target_connection &Connection,
+                 answer &Answer) {
+  if (Answer.Code != answer_code::Complete ||
+      Connection.Phase != connection_phase::Running ||
+      !isAtDisprovedPrimary(State, Connection) || !mayCommit(State, Connection))
+    return;
+  Answer.Code = answer_code::InDoubt;
+  Answer.Text = "its primary was replaced meanwhile";
+}
+
 bool isDialTimedOut(const target_connection &Connection, instant Now) {
   return Connection.Phase == connection_phase::Dialling &&
          Now > Connection.DialledAt + DialTimeout;
@@ -499,6 +510,8 @@
     Target->AnsweredAt = Step.Now;
     noteReachability(Step, *Target, true);
   }
+  noteAnswer(Step, *Connection, Event.Answer);
+  doubtCommit(Step.State, *Connection, Event.Answer);
   if (Event.Answer.Position)
     recordPosition(Step, *Connection, *Event.Answer.Position);
   switch (Connection->Phase) {
--- a/src/proxy/electors.cpp
+++ b/src/proxy/electors.cpp
@@ -171,7 +171,7 @@
     for (const auto &[Name, Generation] : Event.Request.Generations) {
       group_state *Group = findIn(State.Groups, Name);
       if (Group == nullptr || !Group->Record || !Group->Record->Open ||
-          Group->Record->Generation != Generation ||
+          isDisproved(*Group) || Group->Record->Generation != Generation ||
           !contains(Group->Record->Electors, State.Identity.Name))
         continue;
       Group->OwnVoteUntil = Step.Now + VoteLifetime;
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -61,7 +61,10 @@
   void operator()(events::target_lost &Event) {
     targetLost(Step, Event.Connection);
   }
-  void operator()(events::target_probed &Event) { targetProbed(Step, Event); }
+  void operator()(events::target_probed &Event) {
+    noteStatus(Step, Event);
+    targetProbed(Step, Event);
+  }
   void operator()(events::settings_changed &Event) {
     adoptSettings(Step, std::move(Event.Settings));
   }
--- a/src/proxy/host_list.cpp
+++ b/src/proxy/host_list.cpp
@@ -140,7 +140,8 @@
   State.ExpiredHosts.erase(Name);
   State.HostRemovals.erase(Name);
   if (Parsed->UnreachablePrimaries.empty() &&
-      Parsed->SuspectedPrimaries.empty())
+      Parsed->SuspectedPrimaries.empty() &&
+      Parsed->DisprovedGenerations.empty())
     State.ReportingHosts.erase(Name);
   else
     State.ReportingHosts.insert(Name);
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -209,9 +209,30 @@
 [[nodiscard]] bool mayContinueAtPrimary(const host &State,
                                         const target_connection &Connection,
                                         instant Now);
+/// \brief Whether the target may commit something for the connection's
+/// statement.
+[[nodiscard]] bool mayCommit(const host &State,
+                             const target_connection &Connection);
+/// \brief Whether the connection is used under the record in force, whose
+/// primary was replaced: what it commits may be lost.
+[[nodiscard]] bool isAtDisprovedPrimary(const host &State,
+                                        const target_connection &Connection);
 /// \brief Ends what goes on at primaries that this host may not use any more.
 void superviseWorkAtPrimaries(step_context &Step);
 
+// Evidence that a record's primary does not lead (disproved.cpp).
+/// \brief Whether this host has proof that the record's primary does not lead.
+[[nodiscard]] bool isDisproved(const group_state &Group);
+/// \brief Whether this host or another one has such proof.
+[[nodiscard]] bool isReportedDisproved(const host &State,
+                                       const std::string &Name,
+                                       const group_state &Group);
+/// \brief Takes note of what a target's answer shows of the group's primary.
+void noteAnswer(step_context &Step, const target_connection &Connection,
+                const answer &Answer);
+/// \brief Takes note of what a target's status shows of the group's primary.
+void noteStatus(step_context &Step, const events::target_probed &Event);
+
 // Evidence that a primary is lost (witnesses.cpp).
 /// \brief Notes that a target's owner or the target itself did not answer, if
 /// the target is its group's primary.
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -214,8 +214,9 @@
     if (Owner == owner_kind::None)
       continue;
     // A connection owner uses the primary under its own lease.
-    const bool OwnerMayUsePrimary =
-        Group->Record->Open && Owner == owner_kind::Peer;
+    const bool OwnerMayUsePrimary = Group->Record->Open &&
+                                    !isDisproved(*Group) &&
+                                    Owner == owner_kind::Peer;
     if (Group->Record->Primary == Id && (MayUsePrimary || OwnerMayUsePrimary)) {
       if (Request.NeedsPrimary || !Request.ExcludedTargets.contains(Id))
         Candidates.push_back(
@@ -271,8 +272,9 @@
   if (Found == State.Groups.end() || !Found->second.Record)
     return "the group's primary is not known";
   const group_state &Group = Found->second;
-  if (!Group.Record->Open) {
-    const instant ExpectedEnd = Group.ClosedAt + UsualFailoverDuration;
+  if (!Group.Record->Open || isDisproved(Group)) {
+    const instant Begin = Group.Record->Open ? Step.Now : Group.ClosedAt;
+    const instant ExpectedEnd = Begin + UsualFailoverDuration;
     if (Request.Deadline < ExpectedEnd + PrimaryAnnouncementDelay)
       return "its primary is being replaced";
     return std::nullopt;
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -1,11 +1,12 @@
 /// This host's lease, and its permission to use primaries.
 ///
-/// A host uses a group's primary only while the group's record is open and
-/// either its lease is valid or a quorum of electors votes for it
-/// (electors.cpp). The lease's lifetime counts from the sending of the grant or
-/// renewal, so it ends here before it ends in the store. The coordinator closes
-/// the record before it orders a promotion, and waits for each host's
-/// acknowledgement or the end of its lease.
+/// A host uses a group's primary only while the group's record is open, nothing
+/// shows that another target leads (disproved.cpp), and either its lease is
+/// valid or a quorum of electors votes for it (electors.cpp). The lease's
+/// lifetime counts from the sending of the grant or renewal, so it ends here
+/// before it ends in the store. The coordinator closes the record before it
+/// orders a promotion, and waits for each host's acknowledgement or the end of
+/// its lease.
 #include "parts.hpp"
 
 #include <algorithm>
@@ -57,6 +58,8 @@
       Record.UnreachablePrimaries[Name] = Group.Record->Primary;
     if (Group.Witness.IsReporting && Group.Record)
       Record.SuspectedPrimaries[Name] = Group.Record->Primary;
+    if (isDisproved(Group) && Group.Record->Open)
+      Record.DisprovedGenerations[Name] = Group.Record->Generation;
   }
   return Record;
 }
@@ -211,7 +214,7 @@
 bool mayUsePrimary(const host &State, const std::string &Group, instant Now) {
   const auto Found = State.Groups.find(Group);
   if (Found == State.Groups.end() || !Found->second.Record ||
-      !Found->second.Record->Open)
+      !Found->second.Record->Open || isDisproved(Found->second))
     return false;
   return hasValidLease(State, Now) ||
          hasElectorQuorum(State, Found->second, Now);
--- a/src/proxy/primary_use.cpp
+++ b/src/proxy/primary_use.cpp
@@ -45,20 +45,10 @@
   if (Group == State.Groups.end() || !Group->second.Record)
     return true;
   const group_record &Record = *Group->second.Record;
-  return Record.Primary != Connection.Target ||
+  return Record.Primary != Connection.Target || isDisproved(Group->second) ||
          Record.Generation > Connection.PrimaryGeneration + 1;
 }
 
-/// Whether the target may commit something for the connection's statement.
-bool mayCommit(const host &State, const target_connection &Connection) {
-  const auto Found = State.Requests.find(Connection.Request);
-  if (Found == State.Requests.end())
-    return false;
-  const target_request &Request = Found->second;
-  return Request.Statement.Kind == statement_kind::Commit ||
-         (Request.Writes && !Request.InTransaction);
-}
-
 /// Ends the transactions of callers that rest.
 void endRestingTransactions(step_context &Step,
                             const std::vector<session_number> &Sessions) {
@@ -70,6 +60,22 @@
 
 } // namespace
 
+bool mayCommit(const host &State, const target_connection &Connection) {
+  const auto Found = State.Requests.find(Connection.Request);
+  if (Found == State.Requests.end())
+    return false;
+  const target_request &Request = Found->second;
+  return Request.Statement.Kind == statement_kind::Commit ||
+         (Request.Writes && !Request.InTransaction);
+}
+
+bool isAtDisprovedPrimary(const host &State,
+                          const target_connection &Connection) {
+  const auto Found = State.Groups.find(Connection.Group);
+  return Found != State.Groups.end() && isDisproved(Found->second) &&
+         Found->second.Record->Generation == Connection.PrimaryGeneration;
+}
+
 void acknowledgeClosed(step_context &Step, group_state &Group) {
   if (!Group.Record || Group.Record->Open ||
       Group.AcknowledgedClosure >= Group.Record->Generation)
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -144,15 +144,16 @@
 
 /// Writes the closed record. One that is closed already keeps its generation,
 /// as the hosts' acknowledgements of it stay valid.
+/// \param LatestOrder The order that may have been carried out, if any.
 void closeRecord(step_context &Step, const std::string &Name,
-                 group_state &Group) {
+                 group_state &Group, std::optional<named_order> LatestOrder) {
   enterStage(Step, Name, Group, promotion_stage::Closing);
-  const std::uint64_t Generation =
-      Group.Record->Generation + (Group.Record->Open ? 1 : 0);
-  changeRecord(Step, Name, Group, Group.Revision,
-               {Generation, Group.Record->Primary, false,
-                Group.Record->Electors, Group.Promotion.ReplacesElectors,
-                Group.Record->Term, Group.Record->LatestOrder});
+  group_record Closed = *Group.Record;
+  Closed.Generation += Closed.Open ? 1 : 0;
+  Closed.Open = false;
+  Closed.PrimaryStays = Group.Promotion.ReplacesElectors;
+  Closed.LatestOrder = std::move(LatestOrder);
+  changeRecord(Step, Name, Group, Group.Revision, Closed);
 }
 
 /// Starts a promotion if the group needs another primary and has a replica.
@@ -162,12 +163,14 @@
       findIn(Step.State.Targets, Group.Record->Primary);
   const bool UnlistedOrDraining =
       Primary == nullptr || !Primary->Listed || Primary->Entry.Draining;
+  const bool Disproved = isReportedDisproved(Step.State, Name, Group);
   const bool Unreachable =
-      isPrimaryUnreachable(Step.State, Name, Group, Step.Now);
+      Disproved || isPrimaryUnreachable(Step.State, Name, Group, Step.Now);
   const bool Planned = !Unreachable && Primary != nullptr && Primary->Listed;
   if ((!UnlistedOrDraining && !Unreachable) ||
       (Planned && Step.Now < Group.NextPlannedChangeAt) ||
-      !replicaListed(Step.State, Name, Group.Record->Primary, Planned))
+      (!Disproved &&
+       !replicaListed(Step.State, Name, Group.Record->Primary, Planned)))
     return;
   Group.Promotion = {};
   Group.Promotion.Planned = Planned;
@@ -179,7 +182,9 @@
            {"blind_hosts",
             std::to_string(countReports(Step.State, Name, Group).Reports)},
            {"hosts", std::to_string(Step.State.Hosts.size())}});
-  closeRecord(Step, Name, Group);
+  // Another target may lead by an order that was carried out late.
+  closeRecord(Step, Name, Group,
+              Disproved ? std::optional(named_order{}) : std::nullopt);
 }
 
 /// Starts the replacement of electors that are missing or too few. The primary
@@ -200,7 +205,7 @@
           {{"group", Name},
            {"electors", std::to_string(Group.Record->Electors.size())},
            {"hosts", std::to_string(Step.State.Hosts.size())}});
-  closeRecord(Step, Name, Group);
+  closeRecord(Step, Name, Group, std::nullopt);
 }
 
 /// Reads which hosts may still use the old primary.
@@ -533,7 +538,7 @@
   Group.Promotion.ReplacesElectors = Group.Record->PrimaryStays;
   Group.Promotion.StartedAt = Step.Now;
   Group.Promotion.OrderNotBefore = revokedLeasesEnd(Step.State);
-  closeRecord(Step, Name, Group);
+  closeRecord(Step, Name, Group, Group.Record->LatestOrder);
 }
 
 /// Ends a promotion whose closed record was changed by another one.
--- a/src/proxy/records.cpp
+++ b/src/proxy/records.cpp
@@ -16,6 +16,26 @@
   return Object;
 }
 
+json::object toObject(const std::map<std::string, std::uint64_t> &Generations) {
+  json::object Object;
+  for (const auto &[Group, Generation] : Generations)
+    Object[Group] = Generation;
+  return Object;
+}
+
+std::map<std::string, std::uint64_t> generationsOf(const json::object &Object,
+                                                   std::string_view Field) {
+  std::map<std::string, std::uint64_t> Generations;
+  const json::value *Map =
+      Object.if_contains(json::string_view(Field.data(), Field.size()));
+  if (Map == nullptr || !Map->is_object())
+    return Generations;
+  for (const auto &Entry : Map->as_object())
+    if (const auto Generation = toUnsigned(&Entry.value()))
+      Generations[std::string(Entry.key())] = *Generation;
+  return Generations;
+}
+
 std::map<std::string, std::string> primariesOf(const json::object &Object,
                                                std::string_view Field) {
   std::map<std::string, std::string> Primaries;
@@ -82,12 +102,9 @@
 }
 
 std::string formatRecord(const host_record &Record) {
-  json::object Acknowledged;
-  for (const auto &[Group, Generation] : Record.AcknowledgedClosures)
-    Acknowledged[Group] = Generation;
   json::object Object{{"peers", toText(Record.PeerEndpoint)},
                       {"data_centre", Record.DataCentre},
-                      {"acknowledged", Acknowledged},
+                      {"acknowledged", toObject(Record.AcknowledgedClosures)},
                       {"leaving", Record.Leaving},
                       {"blind", toObject(Record.UnreachablePrimaries)}};
   if (Record.Revoked)
@@ -96,6 +113,8 @@
     Object["link_mbps"] = Record.LinkMbps;
   if (!Record.SuspectedPrimaries.empty())
     Object["suspected"] = toObject(Record.SuspectedPrimaries);
+  if (!Record.DisprovedGenerations.empty())
+    Object["disproved"] = toObject(Record.DisprovedGenerations);
   return json::serialize(Object);
 }
 
@@ -144,13 +163,10 @@
   if (const json::value *DataCentre = Object->if_contains("data_centre");
       DataCentre != nullptr && DataCentre->is_string())
     Record.DataCentre = std::string_view(DataCentre->as_string());
-  if (const json::value *Map = Object->if_contains("acknowledged");
-      Map != nullptr && Map->is_object())
-    for (const auto &Entry : Map->as_object())
-      if (const auto Generation = toUnsigned(&Entry.value()))
-        Record.AcknowledgedClosures[std::string(Entry.key())] = *Generation;
+  Record.AcknowledgedClosures = generationsOf(*Object, "acknowledged");
   Record.UnreachablePrimaries = primariesOf(*Object, "blind");
   Record.SuspectedPrimaries = primariesOf(*Object, "suspected");
+  Record.DisprovedGenerations = generationsOf(*Object, "disproved");
   return Record;
 }
 
--- a/src/proxy/records.hpp
+++ b/src/proxy/records.hpp
@@ -56,6 +56,9 @@
   std::map<std::string, std::string> UnreachablePrimaries;
   /// Primaries whose connection owner does not answer the host, by group.
   std::map<std::string, std::string> SuspectedPrimaries;
+  /// Generations of groups' records whose primary does not lead, as the host
+  /// has proof, by group.
+  std::map<std::string, std::uint64_t> DisprovedGenerations;
   /// Written by a coordinator before it has the store end the record's lease.
   bool Revoked = false;
 };
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -250,6 +250,10 @@
   /// When a read last needed a sample to run on a replica.
   instant ReplicaReadAt{};
   instant PositionAskedAt{}; ///< Latest request for the primary's position.
+  /// Latest term that a target of the group has shown.
+  std::uint64_t LatestTerm = 0;
+  /// Generation whose primary showed by an answer that it must not lead, or 0.
+  std::uint64_t DisprovedGeneration = 0;
   promotion_state Promotion;
   /// Until then, the order that the closed record names may be carried out.
   instant OrderUnderWayUntil{};
@@ -382,7 +386,7 @@
   /// By name, including this host. Changes come from several sources, of which
   /// one may lag, so a record only replaces one with a lower revision.
   std::map<std::string, listed_peer> Hosts;
-  /// Hosts whose record reports an unreachable or suspected primary.
+  /// Hosts whose record reports an unreachable, suspected or disproved primary.
   std::set<std::string> ReportingHosts;
   /// Removals newer than HostsReadRevision, by name: an older record does not
   /// list the host again.
