Replace a primary that lost a part of its log

Cause: a record's primary that restarts without the end of its log refused reads until writes had passed its old position. It was not replaced, and positions that it gave again meant other commits than before.

Only where commits are acknowledged without replicas: elsewhere the position of the old primary still counts as one that covers all acknowledged commits (holdsAcknowledgedCommits in candidates.cpp), and has to lose that first.

Ruled out: LAGGING as proof: existing tests expect that a primary is asked again after it, and one refusal may be one of a target that is about to be replaced. Proof across generations: a primary that has to be used again, as no replica can be promoted, would be replaced for ever.

--- a/src/proxy/connections.cpp
+++ b/src/proxy/connections.cpp
@@ -511,9 +511,9 @@
     noteReachability(Step, *Target, true);
   }
   noteAnswer(Step, *Connection, Event.Answer);
-  doubtCommit(Step.State, *Connection, Event.Answer);
   if (Event.Answer.Position)
     recordPosition(Step, *Connection, *Event.Answer.Position);
+  doubtCommit(Step.State, *Connection, Event.Answer);
   switch (Connection->Phase) {
   case connection_phase::Preparing:
     handleSetupAnswer(Step, *Connection, Event.Answer.Code);
--- a/src/proxy/positions.cpp
+++ b/src/proxy/positions.cpp
@@ -52,6 +52,22 @@
   Step.Out.push_back(effects::request_position{Owner.Peer, {Name, Step.Now}});
 }
 
+/// Whether a sample shows a shorter log than the primary had before, under the
+/// same generation. It must not lead: a replica may hold what it lost, and
+/// positions that it gives again mean other commits.
+bool lostLog(const group_state &Group, const position_sample &Sample) {
+  return Group.PrimaryPosition && Sample.Position < *Group.PrimaryPosition &&
+         Group.PrimaryPositionAt < Sample.SentAt;
+}
+
+/// Whether commits are acknowledged without replicas. Otherwise the position of
+/// the old primary decides which replica holds all of them, and must be whole.
+bool isUnconfirmed(const host &State, const std::string &Name) {
+  const group_limits *Limits =
+      State.Settings ? findIn(State.Settings->Groups, Name) : nullptr;
+  return Limits != nullptr && Limits->ConfirmingReplicas == 0;
+}
+
 } // namespace
 
 std::string positionText(const std::optional<log_position> &Position) {
@@ -71,8 +87,12 @@
              {"before", positionText(Group.Samples.Samples.back().Position)},
              {"age_ms", elapsedMsText(Sample.SentAt, Step.Now)}});
   addSample(Group.Samples, Sample);
-  Group.PrimaryPosition =
-      std::max(Group.PrimaryPosition, std::optional(Sample.Position));
+  if (lostLog(Group, Sample) && isUnconfirmed(Step.State, Name))
+    Group.DisprovedGeneration = Group.Record->Generation;
+  if (Sample.Position <= Group.PrimaryPosition)
+    return;
+  Group.PrimaryPosition = Sample.Position;
+  Group.PrimaryPositionAt = Sample.ReceivedAt;
 }
 
 void superviseSamples(step_context &Step) {
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -247,6 +247,7 @@
   freshness_samples Samples;
   /// Highest position that the primary reported under the record's generation.
   std::optional<log_position> PrimaryPosition;
+  instant PrimaryPositionAt{}; ///< When PrimaryPosition was received.
   /// When a read last needed a sample to run on a replica.
   instant ReplicaReadAt{};
   instant PositionAskedAt{}; ///< Latest request for the primary's position.
