Go on from the order before one that was refused

And an order of this coordinator's own, whose name was not confirmed, was waited for as if a previous coordinator had given it (2.7 s).

Cause: a named order counted as one that may have been carried out, also when the platform had said that it was not, or it had never left.

Change: the coordinator that knows this goes on from the order before it. The wait for a previous coordinator's order applies to names that were written before this one took the role. A round of probes waits for the old primary when that was ordered to lead again.

--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -360,6 +360,7 @@
        {"unanswered", std::to_string(Group.Promotion.PendingProbes.size())}});
   const target_status &Status = Group.Promotion.Statuses.at(Candidate);
   group_record Record = *Group.Record;
+  Group.Promotion.OrderBefore = Record.LatestOrder;
   Record.LatestOrder = {Candidate, Status.IsPrimary ? Status.Term : 0};
   Group.Promotion.Candidate = std::move(Candidate);
   Group.Promotion.IsOrderAccepted = false;
@@ -387,6 +388,7 @@
   promotion_state &Promotion = Group.Promotion;
   Promotion.ClosedRevision = ClosedRevision;
   if (!mayOrderNow(Step, Group)) {
+    Group.Record->LatestOrder = Promotion.OrderBefore;
     chooseAgain(Step, Name, Group);
     return;
   }
@@ -443,8 +445,11 @@
                    group_state &Group) {
   promotion_state &Promotion = Group.Promotion;
   const auto &OldPrimary = Group.Record->Primary;
-  // An unplanned change does not wait for the answer of the lost primary.
+  // An unplanned change does not wait for the answer of the lost primary,
+  // unless that was ordered to lead again.
+  const auto &Order = Group.Record->LatestOrder;
   const bool OnlyOldMissing = !Promotion.Planned &&
+                              !(Order && Order->Target == OldPrimary) &&
                               Promotion.PendingProbes.size() == 1 &&
                               Promotion.PendingProbes.contains(OldPrimary) &&
                               !Promotion.Statuses.empty();
@@ -530,7 +535,8 @@
   }
   // A previous coordinator left the record closed, or an earlier change of it
   // was not confirmed. The previous one gave its orders while it had the role.
-  if (Group.Record->LatestOrder)
+  if (Group.Record->LatestOrder &&
+      Group.Revision < Step.State.Coordinator.FencingToken)
     Group.OrderUnderWayUntil =
         std::max(Group.OrderUnderWayUntil,
                  Step.State.Coordinator.HeldSince + MaxPromotionTime);
@@ -694,6 +700,9 @@
     return;
   if (Event.Outcome == order_outcome::NotRunning)
     Group->Promotion.RefusedCandidates.insert(Group->Promotion.Candidate);
+  // It was not carried out, so that the order before is the latest one. The
+  // store's record goes on naming it, for a successor that can't know.
+  Group->Record->LatestOrder = Group->Promotion.OrderBefore;
   Group->Promotion.OrderNotBefore = Step.Now + OrderRetryDelay;
   Group->OrderUnderWayUntil = {};
   chooseAgain(Step, Event.Group, *Group);
--- a/src/proxy/records.cpp
+++ b/src/proxy/records.cpp
@@ -50,7 +50,7 @@
   return Primaries;
 }
 
-/// The field `order` of a closed record: null when no order was sent.
+/// The field `order` of a closed record: null when none may have been sent.
 json::value toValue(const std::optional<named_order> &Order) {
   if (!Order)
     return nullptr;
--- a/src/proxy/records.hpp
+++ b/src/proxy/records.hpp
@@ -38,8 +38,8 @@
   /// ordered, and the primary is used again when the record is opened.
   bool PrimaryStays = false;
   std::uint64_t Term = 0; ///< In which the primary leads; 0: not known.
-  /// The latest order since the record was closed. None: no order was sent, so
-  /// that the primary still leads.
+  /// The latest order that may have been sent since the record was closed.
+  /// None: there is none, so that the primary still leads.
   std::optional<named_order> LatestOrder = {};
 };
 
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -215,6 +215,9 @@
   /// leases that the previous coordinator revoked.
   instant OrderNotBefore{};
   std::map<std::string, target_status> Statuses;
+  /// The latest order before the one that is named; it counts again if the
+  /// platform refuses that one.
+  std::optional<named_order> OrderBefore;
   /// The platform has accepted the order that the record names.
   bool IsOrderAccepted = false;
   /// Replicas that do not run, as the platform told.
--- a/tests/proxy/promotion_order_tests.cpp
+++ b/tests/proxy/promotion_order_tests.cpp
@@ -24,13 +24,15 @@
   return Record;
 }
 
-/// A host that has just become the coordinator and finds this record.
+/// A host that has just become the coordinator and finds this record, which was
+/// written before it took the role.
 host_driver successorFinding(const group_record &Record) {
   host_driver Driver;
   becomeCoordinator(Driver);
-  Driver.send(
-      events::record_changed{{std::string(GroupsPrefix) + Group,
-                              formatRecord(Record), ++Driver.Revision, 0}});
+  const std::uint64_t Token = Driver.Host->Coordinator.FencingToken;
+  REQUIRE(Driver.Host->Groups.at(Group).Revision < Token - 1);
+  Driver.send(events::record_changed{
+      {std::string(GroupsPrefix) + Group, formatRecord(Record), Token - 1, 0}});
   return Driver;
 }
 
@@ -81,7 +83,7 @@
 host_driver coordinatorThatOrderedB() {
   host_driver Driver;
   becomeCoordinator(Driver);
-  reportUnreachable(Driver, "host-2", "a");
+  reportUnreachable(Driver, "host-1", "a");
   REQUIRE(nextOrder(Driver, 1s, {{"b", Replica}, {"c", Replica}}) == "b");
   return Driver;
 }
@@ -91,7 +93,7 @@
 host_driver coordinatorThatNamesB() {
   host_driver Driver;
   becomeCoordinator(Driver);
-  reportUnreachable(Driver, "host-2", "a");
+  reportUnreachable(Driver, "host-1", "a");
   const auto &Promotion = Driver.Host->Groups.at(Group).Promotion;
   for (int Round = 0; Round < 20 && Promotion.Stage != promotion_stage::Naming;
        ++Round) {
@@ -226,6 +228,49 @@
   CHECK_FALSE(openedFor(Driver, 4500ms, OnlyOld));
 }
 
+TEST_CASE("The old primary is used again after an order that was refused") {
+  // Guards against a group that stays closed for as long as the platform
+  // refuses orders, although its primary leads.
+  for (const auto Refusal :
+       {order_outcome::NotRunning, order_outcome::Rejected}) {
+    host_driver Driver = coordinatorThatOrderedB();
+    answerOrder(Driver, Refusal);
+    CHECK(openedFor(Driver, 5s, {{"a", primaryOf(1)}}) == "a");
+  }
+}
+
+TEST_CASE("A refused order leaves the one before it as the latest") {
+  host_driver Driver = coordinatorThatOrderedB();
+  answerOrder(Driver, order_outcome::Unanswered);
+  REQUIRE(nextOrder(Driver, 5s, {{"c", Replica}}) == "c");
+  answerOrder(Driver, order_outcome::Rejected);
+  CHECK(openedFor(Driver, 500ms, {{"b", primaryOf(2)}}) == "b");
+}
+
+TEST_CASE("An own order whose name was not confirmed delays no other one") {
+  // Guards against a longer gap: the name counted as one of a previous
+  // coordinator, whose order might be under way.
+  host_driver Driver = coordinatorThatNamesB();
+  const auto &Promotion = Driver.Host->Groups.at(Group).Promotion;
+  const std::string Named = Promotion.ChangeValue;
+  (void)Driver.takeEffects<effects::change_records>();
+  Driver.send(
+      events::change_ended{Promotion.ChangeCall, change_outcome::Unknown, 0});
+  Driver.send(events::record_changed{
+      {std::string(GroupsPrefix) + Group, Named, ++Driver.Revision, 0}});
+  CHECK(nextOrder(Driver, 1s, {{"b", Replica}, {"c", Replica}}));
+}
+
+TEST_CASE("The term that an order names is asked for after the wait for the "
+          "order before") {
+  // Guards against a target that led in a later term than was named.
+  host_driver Driver = successorFinding(closedWith(named_order{"b", 0}));
+  const statuses Statuses = {{"a", primaryOf(1)}, {"b", Replica}};
+  const instant Until = Driver.Host->Coordinator.HeldSince + 3500ms;
+  REQUIRE(nextOrder(Driver, 5s, Statuses));
+  CHECK(Driver.Host->Groups.at(Group).Promotion.ProbesSentAt >= Until);
+}
+
 TEST_CASE("A primary is replaced again at once after its order was proved") {
   // The wait for an order ends with the proof that it was carried out.
   host_driver Driver = coordinatorThatOrderedB();
