Take only the platform's own word for an order that was not carried out

Cause: every status but 200 and 409 counted as a refusal that did nothing, 500 and 504 included. Since refused orders are not waited for, one of those could be carried out beside the next.

Found by the reviewer, by reading; shown by a test.

--- a/tests/platform/store_client_tests.cpp
+++ b/tests/platform/store_client_tests.cpp
@@ -131,6 +131,20 @@
                                       proxy::order_outcome::Unanswered});
 }
 
+TEST_CASE("An order counts as not carried out only if the platform says so") {
+  // Another error may come after the order was taken up.
+  client_fixture Fixture;
+  for (const unsigned Status : {409U, 429U, 503U, 500U, 504U}) {
+    Fixture.Client.carryOut(proxy::effects::order_promotion{});
+    Fixture.answer({Status, {}});
+  }
+  CHECK(Fixture.Orders == std::vector{proxy::order_outcome::NotRunning,
+                                      proxy::order_outcome::Rejected,
+                                      proxy::order_outcome::Rejected,
+                                      proxy::order_outcome::Unanswered,
+                                      proxy::order_outcome::Unanswered});
+}
+
 TEST_CASE("An order that was accepted is told apart from an unanswered one") {
   client_fixture Fixture;
   Fixture.Client.carryOut(proxy::effects::order_promotion{});
