Share the reading of a reported disproof between two test files

Cause: disproved_primary_tests and short_log_tests each held the same steps that let a host register and take the generation that it reports.

No assertion changes.

--- a/tests/proxy/disproved_primary_tests.cpp
+++ b/tests/proxy/disproved_primary_tests.cpp
@@ -1,5 +1,6 @@
 /// A record's primary that answers although another target leads.
 #include "coordinator_driver.hpp"
+#include "disproof_driver.hpp"
 
 #include <proxy/parts.hpp>
 
@@ -50,15 +51,7 @@
     return mayUsePrimary(*Driver.Host, Group, Driver.Now);
   }
 
-  /// The generation that the host's own record reports, or 0.
-  std::uint64_t reportedGeneration() {
-    Driver.grantLease(7);
-    Driver.send(events::tick{});
-    const auto Record = Driver.takeRegistration();
-    if (!Record || !Record->DisprovedGenerations.contains(Group))
-      return 0;
-    return Record->DisprovedGenerations.at(Group);
-  }
+  std::uint64_t reportedGeneration() { return takeDisprovedGeneration(Driver); }
 
   answer_code onlyAnswer() {
     const auto Answers = Driver.takeEffects<effects::answer_caller>();
--- a/tests/proxy/short_log_tests.cpp
+++ b/tests/proxy/short_log_tests.cpp
@@ -1,4 +1,5 @@
 /// A primary whose log is shorter than it was.
+#include "disproof_driver.hpp"
 #include "position_driver.hpp"
 
 using namespace session_test;
@@ -31,14 +32,7 @@
     return mayUsePrimary(*Driver.Host, Group, Driver.Now);
   }
 
-  std::uint64_t reportedGeneration() {
-    Driver.grantLease(7);
-    Driver.send(events::tick{});
-    const auto Record = Driver.takeRegistration();
-    return Record && Record->DisprovedGenerations.contains(Group)
-               ? Record->DisprovedGenerations.at(Group)
-               : 0;
-  }
+  std::uint64_t reportedGeneration() { return takeDisprovedGeneration(Driver); }
 };
 
 } // namespace
