Log from whom a host has its settings, and how old the proof is

Change: a watch knows until when it is proven that no change is missing. The answer to a peer's watch carries that as an age, counted from the arrival of the call so that no two clocks are compared, and the number of hosts that it went through. Lines settings.received (each version) and settings.unproved (answers with a proof of more than 2.5 s), histogram bronzespar_proof_age_ms. An answer of a host of an earlier version carries no proof. No decision uses this yet.

So that the watch and the gateway can be simulated, their connections, timers and clock are functions now, and the calls that wait for peers a table of their own. Their decisions are unchanged.

--- a/src/serve/meters.cpp
+++ b/src/serve/meters.cpp
@@ -30,19 +30,19 @@
         << Key.second << "\"} " << Count << '\n';
 }
 
-void writeLatencies(std::ostream &Out, const char *Label,
+void writeLatencies(std::ostream &Out, const char *Metric, const char *Label,
                     const std::map<std::string, latency_meter> &Meters) {
   for (const auto &[Name, Meter] : Meters) {
     std::uint64_t CumulativeCount = Meter.Histogram.at(-1);
     for (int Bin = 0; Bin < static_cast<int>(LatencyBins); ++Bin) {
       CumulativeCount += Meter.Histogram.at(Bin);
-      Out << "bronzespar_latency_ms_bucket{" << Label << "=\"" << Name
-          << "\",le=\"" << Meter.Histogram.axis().bin(Bin).upper() << "\"} "
+      Out << Metric << "_bucket{" << Label << "=\"" << Name << "\",le=\""
+          << Meter.Histogram.axis().bin(Bin).upper() << "\"} "
           << CumulativeCount << '\n';
     }
-    Out << "bronzespar_latency_ms_sum{" << Label << "=\"" << Name << "\"} "
-        << Meter.SumMs << '\n';
-    Out << "bronzespar_latency_ms_count{" << Label << "=\"" << Name << "\"} "
+    Out << Metric << "_sum{" << Label << "=\"" << Name << "\"} " << Meter.SumMs
+        << '\n';
+    Out << Metric << "_count{" << Label << "=\"" << Name << "\"} "
         << Meter.Count << '\n';
   }
 }
@@ -60,6 +60,10 @@
   addLatency(Meters.AccountLatencies, Outcome.Account, Milliseconds);
 }
 
+void countProofAge(meters &Meters, duration Age) {
+  addLatency(Meters.ProofAges, "settings", toMilliseconds(Age));
+}
+
 std::string formatMeters(const meters &Meters) {
   std::ostringstream Out;
   writeCounts(Out, "bronzespar_statements_total", "class", Meters.Outcomes);
@@ -71,8 +75,10 @@
   for (const auto &[Kind, Count] : Meters.StoreCalls)
     Out << "bronzespar_store_calls_total{call=\"" << Kind << "\"} " << Count
         << '\n';
-  writeLatencies(Out, "class", Meters.Latencies);
-  writeLatencies(Out, "account", Meters.AccountLatencies);
+  writeLatencies(Out, "bronzespar_latency_ms", "class", Meters.Latencies);
+  writeLatencies(Out, "bronzespar_latency_ms", "account",
+                 Meters.AccountLatencies);
+  writeLatencies(Out, "bronzespar_proof_age_ms", "of", Meters.ProofAges);
   return Out.str();
 }
 
--- a/src/serve/meters.hpp
+++ b/src/serve/meters.hpp
@@ -38,6 +38,8 @@
   std::map<std::string, latency_meter> Latencies;        ///< By route class.
   std::map<std::string, latency_meter> AccountLatencies; ///< By account.
   std::map<std::string_view, std::uint64_t> Events; ///< Log events by name.
+  /// Age of the proof behind each answer to the watch of the settings.
+  std::map<std::string, latency_meter> ProofAges;
   /// Direct calls to the store, by kind.
   std::map<std::string, std::uint64_t> StoreCalls;
 };
@@ -45,6 +47,9 @@
 void countOutcome(meters &Meters,
                   const proxy::effects::record_outcome &Outcome);
 
+/// \brief Counts the age of the proof that no newer settings are missing.
+void countProofAge(meters &Meters, duration Age);
+
 /// \brief Formats all meters, one line each: name, labels, value.
 [[nodiscard]] std::string formatMeters(const meters &Meters);
 
--- a/src/serve/peer_links.cpp
+++ b/src/serve/peer_links.cpp
@@ -16,6 +16,15 @@
 /// Added to a relayed call's own timeout for the transfer to the peer and back.
 constexpr duration RelayTimeoutMargin = std::chrono::milliseconds(100);
 
+relay_answer decodeRelayAnswer(const std::string &Peer,
+                               const wire::RelayAnswer &Message) {
+  platform::http_answer Answer{Message.status(), textOf(Message.body())};
+  Answer.Via = Peer;
+  if (const auto ProofUs = Message.proof_us())
+    Answer.Proof = {duration(*ProofUs), Message.hops()};
+  return {std::move(Answer), true, Message.turned_away()};
+}
+
 } // namespace
 
 struct peer_links::frame_socket : serve::frame_socket {
@@ -111,9 +120,7 @@
                     duration(Call->limit_us()),
                     Call->waits()});
   } else if (const auto *Answer = Message->body_as_RelayAnswer()) {
-    relayAnswered(Answer->number(), {{Answer->status(), textOf(Answer->body())},
-                                     true,
-                                     Answer->turned_away()});
+    finishRelay(Relays, Answer->number(), decodeRelayAnswer(Name, *Answer));
   }
 }
 
@@ -145,65 +152,41 @@
         wire::SessionBody_RelayAnswer,
         [&](flatbuffers::FlatBufferBuilder &Builder) {
           const auto Body = Builder.CreateString(Result.Answer.Body);
+          const auto &Proof = Result.Answer.Proof;
+          flatbuffers::Optional<std::int64_t> ProofUs;
+          if (Proof)
+            ProofUs = Proof->ValidAfter.count();
           return wire::CreateRelayAnswer(Builder, Number, Result.Answer.Status,
-                                         Body, Result.PeerRefused);
+                                         Body, Result.PeerRefused, ProofUs,
+                                         Proof ? Proof->Hops : 0);
         }));
   });
 }
 
-void peer_links::relayAnswered(std::uint64_t Number, relay_answer Answer) {
-  const auto Found = PendingRelays.find(Number);
-  if (Found == PendingRelays.end())
-    return;
-  const relay_callback Callback = std::move(Found->second.Callback);
-  PendingRelays.erase(Found);
-  Callback(std::move(Answer));
-}
-
 void peer_links::connectionEnded(const std::string &Name) {
   Sockets.erase(Name);
-  std::vector<std::uint64_t> Lost;
-  for (const auto &[Number, Pending] : PendingRelays)
-    if (Pending.Peer == Name)
-      Lost.push_back(Number);
-  for (const std::uint64_t Number : Lost)
-    relayAnswered(Number, {});
+  failRelaysOf(Relays, Name);
   Events(proxy::events::peer_lost{Name});
 }
 
 void peer_links::expireRelays(instant Now) {
-  std::vector<std::uint64_t> Overdue;
-  for (const auto &[Number, Pending] : PendingRelays)
-    if (Now > Pending.Deadline)
-      Overdue.push_back(Number);
-  for (const std::uint64_t Number : Overdue) {
-    const auto Found = PendingRelays.find(Number);
-    if (Found == PendingRelays.end())
-      continue;
+  for (const std::string &Name : overdueLinks(Relays, Now)) {
     // The peer may no longer have this connection open, so it is closed and the
     // next call opens another.
-    const std::string Peer = Found->second.Peer;
-    if (const auto Link = Sockets.find(Peer); Link != Sockets.end())
+    if (const auto Link = Sockets.find(Name); Link != Sockets.end())
       Link->second->close();
-    connectionEnded(Peer);
+    connectionEnded(Name);
   }
 }
 
-void peer_links::abandonWatches() {
-  std::vector<std::uint64_t> Watches;
-  for (const auto &[Number, Pending] : PendingRelays)
-    if (Pending.IsWatch)
-      Watches.push_back(Number);
-  for (const std::uint64_t Number : Watches)
-    relayAnswered(Number, {});
-}
+void peer_links::abandonWatches() { serve::abandonWatches(Relays); }
 
 void peer_links::relay(const endpoint &Peer, const platform::http_call &Call,
                        relay_callback Callback) {
   const std::uint64_t Number = ++LastNumber;
-  PendingRelays[Number] = {toText(Peer),
-                           bootNow() + Call.Timeout + RelayTimeoutMargin,
-                           Call.IsLongPoll, std::move(Callback)};
+  Relays.Pending[Number] = {toText(Peer),
+                            bootNow() + Call.Timeout + RelayTimeoutMargin,
+                            Call.IsLongPoll, std::move(Callback)};
   findOrDial(Peer).send(encodeFrame(
       wire::SessionBody_RelayCall,
       [&](flatbuffers::FlatBufferBuilder &Builder) {
--- a/src/serve/peer_links.hpp
+++ b/src/serve/peer_links.hpp
@@ -2,10 +2,9 @@
 /// for connection owners, votes of electors, and relayed calls to the platform.
 #pragma once
 
+#include "relay_table.hpp"
 #include "wiring.hpp"
 
-#include <platform/http_link.hpp>
-
 #include <functional>
 #include <map>
 #include <memory>
@@ -17,13 +16,6 @@
 
 namespace bronzespar::serve {
 
-/// \brief Result of a relayed call.
-struct relay_answer {
-  platform::http_answer Answer;
-  bool PeerAnswered = false; ///< False: the peer is unreachable.
-  bool PeerRefused = false;  ///< Its own direct calls fail; it made no call.
-};
-using relay_callback = std::function<void(relay_answer)>;
 /// Makes a call on a peer's behalf; answers through the callback.
 using relay_handler = std::function<void(platform::http_call, relay_callback)>;
 /// \brief Called with the name of a connection and the size of a frame on it
@@ -64,12 +56,6 @@
 
 private:
   struct frame_socket;
-  struct pending_relay {
-    std::string Peer;
-    instant Deadline{};
-    bool IsWatch = false;
-    relay_callback Callback;
-  };
 
   void accept();
   frame_socket &findOrDial(const endpoint &Where);
@@ -79,7 +65,6 @@
                       const session_wire::ForwardAsk &Ask);
   void relayRequested(const std::string &Name, std::uint64_t Number,
                       platform::http_call Call);
-  void relayAnswered(std::uint64_t Number, relay_answer Answer);
   void connectionEnded(const std::string &Name);
   void closeLink(const std::string &Name);
 
@@ -90,7 +75,7 @@
   invalid_frame_handler InvalidFrame;
   /// Keyed by "address:port" when dialled, by "#number" when accepted.
   std::map<std::string, std::shared_ptr<frame_socket>> Sockets;
-  std::map<std::uint64_t, pending_relay> PendingRelays;
+  relay_table Relays;
   std::uint64_t LastNumber = 0;
 };
 
--- a/src/serve/session_daemon.cpp
+++ b/src/serve/session_daemon.cpp
@@ -27,6 +27,8 @@
 
 /// Resolution of all deadlines; a shorter interval costs more processor time.
 constexpr duration TickInterval = std::chrono::milliseconds(20);
+/// An answer with an older proof is logged.
+constexpr duration LateProofAge = std::chrono::milliseconds(2500);
 constexpr unsigned StatusReady = 200;
 constexpr unsigned StatusNotReady = 503;
 constexpr unsigned StatusUnknownPath = 404;
@@ -46,13 +48,15 @@
               writeLog("peer.invalid",
                        {{"link", Link}, {"bytes", std::to_string(Bytes)}});
             }),
-        Gateway(Io, Settings.Store, Settings.PromotionEndpoint, Peers, sink(),
+        Gateway(makeGatewayLinks(Io, Settings.Store, Settings.PromotionEndpoint,
+                                 Peers),
+                sink(),
                 [this](std::string_view Event,
                        std::vector<effects::log_field> Fields) {
                   writeLog(Event, std::move(Fields));
                 }),
         Store(
-            Io, Gateway.makeChannels(), sink(),
+            platform::makeScheduler(Io), Gateway.makeChannels(), sink(),
             [this](const std::string &Key, const std::string &Fault) {
               writeLog("store.unusable", {{"key", Key}, {"fault", Fault}});
             },
@@ -72,12 +76,34 @@
         [this](const platform::http_call &Call, platform::http_callback Done) {
           return Store.serveWatch(Call, std::move(Done));
         });
+    Store.setReceiptSink(
+        [this](const platform::watch_receipt &Receipt, std::uint64_t Version) {
+          recordReceipt(Receipt, Version);
+        });
   }
 
   event_sink sink() {
     return [this](proxy::event Event) { post(std::move(Event)); };
   }
 
+  void recordReceipt(const platform::watch_receipt &Receipt,
+                     std::uint64_t Version) {
+    if (Version == 0) {
+      if (Receipt.IsProven)
+        countProofAge(Meters, Receipt.ProofAge);
+      if (Receipt.IsProven && Receipt.ProofAge < LateProofAge)
+        return;
+    }
+    writeLog(
+        Version == 0 ? "settings.unproved" : "settings.received",
+        {{"version", std::to_string(Version)},
+         {"via", Receipt.Via.empty() ? "store" : Receipt.Via},
+         {"hops", std::to_string(Receipt.Hops)},
+         {"proof_ms", Receipt.IsProven ? std::to_string(static_cast<int>(
+                                             toMilliseconds(Receipt.ProofAge)))
+                                       : "none"}});
+  }
+
   text_answer answerReadiness(const std::string &Path) const {
     if (Path != platform::ReadinessPath)
       return {StatusUnknownPath, "no such path\n"};
--- a/src/serve/store_gateway.cpp
+++ b/src/serve/store_gateway.cpp
@@ -63,13 +63,48 @@
 
 } // namespace
 
-store_gateway::store_gateway(boost::asio::io_context &Context,
-                             endpoint StoreEndpoint, endpoint PromotionAt,
-                             peer_links &PeerLinks, event_sink Sink,
+gateway_links makeGatewayLinks(boost::asio::io_context &Io,
+                               const endpoint &Store,
+                               const endpoint &PromotionEndpoint,
+                               peer_links &Peers) {
+  gateway_links Links;
+  Links.OpenStoreLink = [&Io, Store] {
+    auto Link = std::make_shared<platform::http_link>(Io, Store);
+    return store_link{
+        [Link](platform::http_call Call, platform::http_callback Done) {
+          Link->call(std::move(Call), std::move(Done));
+        },
+        [Link] { Link->cancelLongPoll(); }};
+  };
+  Links.CallStoreOnce = [&Io, Store](platform::http_call Call,
+                                     platform::http_callback Done) {
+    auto Link = std::make_shared<platform::http_link>(Io, Store);
+    Link->call(std::move(Call), [&Io, Link, Done = std::move(Done)](
+                                    platform::http_answer Answer) mutable {
+      Done(std::move(Answer));
+      // Destroys the link only after its own callback has returned.
+      boost::asio::post(Io, [Last = std::move(Link)] {});
+    });
+  };
+  auto Promotions = std::make_shared<platform::http_pool>(Io, PromotionEndpoint,
+                                                          MaxPromotionLinks);
+  Links.Promote = [Promotions](platform::http_call Call,
+                               platform::http_callback Done) {
+    Promotions->call(std::move(Call), std::move(Done));
+  };
+  Links.Relay = [&Peers](const endpoint &Peer, const platform::http_call &Call,
+                         relay_callback Done) {
+    Peers.relay(Peer, Call, std::move(Done));
+  };
+  Links.AbandonWatches = [&Peers] { Peers.abandonWatches(); };
+  Links.Now = bootNow;
+  return Links;
+}
+
+store_gateway::store_gateway(gateway_links Connections, event_sink Sink,
                              log_function Logger)
-    : Io(Context), Store(std::move(StoreEndpoint)),
-      PromotionEndpoint(std::move(PromotionAt)), RelayLinks(PeerLinks),
-      Events(std::move(Sink)), Log(std::move(Logger)) {}
+    : Links(std::move(Connections)), Events(std::move(Sink)),
+      Log(std::move(Logger)) {}
 
 platform::platform_channels store_gateway::makeChannels() {
   platform::platform_channels Channels;
@@ -78,35 +113,30 @@
   Channels.Operator = makeStoreChannel();
   Channels.Targets = makeStoreChannel();
   Channels.Records = makeStoreChannel();
-  auto Promotions = std::make_shared<platform::http_pool>(Io, PromotionEndpoint,
-                                                          MaxPromotionLinks);
-  Channels.Promotion = [Promotions](platform::http_call Call,
-                                    platform::http_callback Done) {
-    Promotions->call(std::move(Call), std::move(Done));
-  };
+  Channels.Promotion = Links.Promote;
   return Channels;
 }
 
 platform::call_function store_gateway::makeStoreChannel() {
-  auto Link = std::make_shared<platform::http_link>(Io, Store);
+  auto Link = std::make_shared<store_link>(Links.OpenStoreLink());
   StoreLinks.push_back(Link);
   return [this, Link](platform::http_call Call, platform::http_callback Done) {
     call(*Link, std::move(Call), std::move(Done));
   };
 }
 
-void store_gateway::call(platform::http_link &Link, platform::http_call Call,
+void store_gateway::call(const store_link &Link, platform::http_call Call,
                          platform::http_callback Done) {
-  const auto Source =
-      Call.IsLongPoll
-          ? proxy::chooseWatchSource(WatchSourceState, WatchSources, bootNow())
-          : std::nullopt;
+  const auto Source = Call.IsLongPoll
+                          ? proxy::chooseWatchSource(WatchSourceState,
+                                                     WatchSources, Links.Now())
+                          : std::nullopt;
   if (Source) {
     callWatchSource(*Source, std::move(Call), std::move(Done));
     return;
   }
   const auto Access = proxy::chooseStoreAccess(AccessState, !RelayPeers.empty(),
-                                               Call.IsLongPoll, bootNow());
+                                               Call.IsLongPoll, Links.Now());
   if (Access == proxy::store_access::Relay)
     callThroughPeer(std::move(Call), std::move(Done));
   else
@@ -117,22 +147,22 @@
                                     platform::http_call Call,
                                     platform::http_callback Done) {
   Call.Timeout = PeerWatchAnswerTimeout;
-  RelayLinks.relay(Source, Call,
-                   [this, Source, Done = std::move(Done)](relay_answer Answer) {
-                     proxy::recordWatchSource(WatchSourceState, Source,
-                                              watchSourceResultOf(Answer),
-                                              bootNow());
-                     Done(std::move(Answer.Answer));
-                   });
+  Links.Relay(Source, Call,
+              [this, Source, Done = std::move(Done)](relay_answer Answer) {
+                proxy::recordWatchSource(WatchSourceState, Source,
+                                         watchSourceResultOf(Answer),
+                                         Links.Now());
+                Done(std::move(Answer.Answer));
+              });
 }
 
-void store_gateway::callDirectly(platform::http_link &Link,
+void store_gateway::callDirectly(const store_link &Link,
                                  platform::http_call Call,
                                  platform::http_callback Done) {
   sent_call Sent{Call.Path.substr(0, Call.Path.find('?')), Call.IsLongPoll,
-                 bootNow()};
+                 Links.Now()};
   CallCounts[callKind(Sent.Path)] += 1;
-  Link.call(std::move(Call),
+  Link.Call(std::move(Call),
             [this, Sent = std::move(Sent),
              Done = std::move(Done)](const platform::http_answer &Answer) {
               recordDirectResult(Sent, Answer);
@@ -143,7 +173,7 @@
 void store_gateway::recordDirectResult(const sent_call &Call,
                                        const platform::http_answer &Answer) {
   const bool FailedBefore = AccessState.DirectFailed;
-  const instant Now = bootNow();
+  const instant Now = Links.Now();
   proxy::recordDirectCall(AccessState, callResultOf(Call.IsLongPoll, Answer),
                           Now);
   if (FailedBefore == AccessState.DirectFailed)
@@ -159,9 +189,9 @@
   // which settings would stay outdated for seconds.
   if (!AccessState.DirectFailed || !RelayPeers.empty())
     for (const auto &Link : StoreLinks)
-      Link->cancelLongPoll();
+      Link->CancelLongPoll();
   if (!AccessState.DirectFailed) {
-    RelayLinks.abandonWatches();
+    Links.AbandonWatches();
     proxy::preferDirectWatches(WatchSourceState, Now);
   }
 }
@@ -171,12 +201,11 @@
   if (Call.IsLongPoll)
     Call.Timeout = PeerWatchAnswerTimeout;
   const endpoint &Peer = RelayPeers[AccessState.RelayIndex % RelayPeers.size()];
-  RelayLinks.relay(
-      Peer, Call, [this, Done = std::move(Done)](relay_answer Answer) {
-        proxy::recordRelayedCall(AccessState, Answer.PeerAnswered,
-                                 isServed(Answer.Answer), bootNow());
-        Done(std::move(Answer.Answer));
-      });
+  Links.Relay(Peer, Call, [this, Done = std::move(Done)](relay_answer Answer) {
+    proxy::recordRelayedCall(AccessState, Answer.PeerAnswered,
+                             isServed(Answer.Answer), Links.Now());
+    Done(std::move(Answer.Answer));
+  });
 }
 
 void store_gateway::relayFor(platform::http_call Call, relay_callback Done) {
@@ -191,13 +220,10 @@
     return;
   // A separate connection: the peer's long polls must not delay this host's
   // calls.
-  auto Link = std::make_shared<platform::http_link>(Io, Store);
-  Link->call(std::move(Call), [Context = &Io, Link, Done = std::move(Done)](
-                                  platform::http_answer Answer) mutable {
-    Done({std::move(Answer), true, false});
-    // Destroys the link only after its own callback has returned.
-    boost::asio::post(*Context, [Last = std::move(Link)] {});
-  });
+  Links.CallStoreOnce(std::move(Call),
+                      [Done = std::move(Done)](platform::http_answer Answer) {
+                        Done({std::move(Answer), true, false});
+                      });
 }
 
 void store_gateway::reportCalls(instant Now) {
--- a/src/serve/store_gateway.hpp
+++ b/src/serve/store_gateway.hpp
@@ -14,6 +14,33 @@
 
 namespace bronzespar::serve {
 
+/// \brief A connection to the store.
+struct store_link {
+  platform::call_function Call;
+  /// Ends the call under way, if it is a long poll.
+  std::function<void()> CancelLongPoll;
+};
+
+/// \brief How a gateway reaches the store and its peers.
+struct gateway_links {
+  std::function<store_link()> OpenStoreLink;
+  /// Makes a call to the store on a connection of its own.
+  platform::call_function CallStoreOnce;
+  platform::call_function Promote;
+  std::function<void(const endpoint &Peer, const platform::http_call &,
+                     relay_callback)>
+      Relay;
+  /// Ends all relayed watches without an answer.
+  std::function<void()> AbandonWatches;
+  platform::clock_function Now;
+};
+
+/// \brief Makes links over sockets.
+[[nodiscard]] gateway_links makeGatewayLinks(boost::asio::io_context &Io,
+                                             const endpoint &Store,
+                                             const endpoint &PromotionEndpoint,
+                                             peer_links &Peers);
+
 /// \brief Sends each call to the platform directly, through a relay peer, or to
 /// the data centre's watch source.
 class store_gateway {
@@ -21,8 +48,7 @@
   using log_function = std::function<void(
       std::string_view Event, std::vector<proxy::effects::log_field> Fields)>;
 
-  store_gateway(boost::asio::io_context &Context, endpoint StoreEndpoint,
-                endpoint PromotionAt, peer_links &PeerLinks, event_sink Sink,
+  store_gateway(gateway_links Connections, event_sink Sink,
                 log_function Logger);
   store_gateway(const store_gateway &) = delete;
   store_gateway &operator=(const store_gateway &) = delete;
@@ -60,9 +86,9 @@
     instant SentAt{};
   };
   platform::call_function makeStoreChannel();
-  void call(platform::http_link &Link, platform::http_call Call,
+  void call(const store_link &Link, platform::http_call Call,
             platform::http_callback Done);
-  void callDirectly(platform::http_link &Link, platform::http_call Call,
+  void callDirectly(const store_link &Link, platform::http_call Call,
                     platform::http_callback Done);
   void callWatchSource(const endpoint &Source, platform::http_call Call,
                        platform::http_callback Done);
@@ -70,10 +96,7 @@
   void recordDirectResult(const sent_call &Call,
                           const platform::http_answer &Answer);
 
-  boost::asio::io_context &Io;
-  endpoint Store;
-  endpoint PromotionEndpoint;
-  peer_links &RelayLinks;
+  gateway_links Links;
   event_sink Events;
   log_function Log;
   proxy::store_access_state AccessState;
@@ -81,8 +104,7 @@
   std::vector<endpoint> WatchSources; ///< In order of preference.
   proxy::watch_source_state WatchSourceState;
   watch_server WatchServer;
-  std::vector<std::shared_ptr<platform::http_link>>
-      StoreLinks; ///< Of all channels.
+  std::vector<std::shared_ptr<store_link>> StoreLinks; ///< Of all channels.
   bool Isolated = false;
   std::map<std::string, std::uint64_t> CallCounts; ///< Direct ones, by kind.
   instant NextCallReportAt{};
--- a/tests/platform/odd_entry_tests.cpp
+++ b/tests/platform/odd_entry_tests.cpp
@@ -96,7 +96,7 @@
   std::vector<std::string> Listed; ///< Ids of the latest list.
   std::size_t Faults = 0;
   store_client Client{
-      Io,
+      makeScheduler(Io),
       channels(),
       [this](proxy::event Event) {
         auto *List = std::get_if<proxy::events::targets_listed>(&Event);
--- a/tests/platform/store_client_tests.cpp
+++ b/tests/platform/store_client_tests.cpp
@@ -25,7 +25,7 @@
   std::vector<proxy::order_outcome> Orders;
   bool MayOrder = true;
   store_client Client{
-      Io,
+      makeScheduler(Io),
       channels(),
       [this](proxy::event Event) {
         if (auto *Read = std::get_if<proxy::events::records_read>(&Event))
--- a/tests/platform/watch_tests.cpp
+++ b/tests/platform/watch_tests.cpp
@@ -24,7 +24,9 @@
   boost::asio::io_context Io;
   std::vector<pending_call> Calls;
   std::vector<store_change> Reported;
-  store_watch Watch{Io,
+  instant Now = Start;
+  store_watch Watch{makeScheduler(Io),
+                    [this] { return Now; },
                     [this](http_call Call, http_callback Done) {
                       Calls.push_back({std::move(Call), std::move(Done)});
                     },
@@ -59,9 +61,8 @@
   /// Starts a peer's watch; its answer is stored in the returned place.
   std::shared_ptr<std::optional<http_answer>> watchAsPeer(std::uint64_t After) {
     auto Place = std::make_shared<std::optional<http_answer>>();
-    Watch.servePeer(After, Start, [Place](http_answer Answer) {
-      *Place = std::move(Answer);
-    });
+    Watch.servePeer(
+        After, [Place](http_answer Answer) { *Place = std::move(Answer); });
     return Place;
   }
 };
@@ -74,9 +75,11 @@
   // watch may last.
   watch_fixture Prefix;
   const auto Answer = Prefix.watchAsPeer(5);
-  Prefix.Watch.answerOverduePeers(Start + PeerWatchTimeout - 1ms);
+  Prefix.Now = Start + PeerWatchTimeout - 1ms;
+  Prefix.Watch.answerOverduePeers();
   CHECK_FALSE(Answer->has_value());
-  Prefix.Watch.answerOverduePeers(Start + PeerWatchTimeout);
+  Prefix.Now = Start + PeerWatchTimeout;
+  Prefix.Watch.answerOverduePeers();
   REQUIRE(Answer->has_value());
   CHECK((*Answer)->Status == StatusOk);
   const auto Page = parseWatch((*Answer)->Body);
--- a/tests/serve/store_gateway_tests.cpp
+++ b/tests/serve/store_gateway_tests.cpp
@@ -96,10 +96,7 @@
       [](const platform::http_call &, const serve::relay_callback &) {},
       [](const std::string &, std::size_t) {}};
   serve::store_gateway Gateway{
-      Store.Io,
-      Store.where(),
-      Store.where(),
-      Peers,
+      serve::makeGatewayLinks(Store.Io, Store.where(), Store.where(), Peers),
       [](const proxy::event &) {},
       [](std::string_view, const std::vector<proxy::effects::log_field> &) {}};
   platform::platform_channels Channels = Gateway.makeChannels();
