--- /dev/null
+++ b/tests/serve/simulated_settings.cpp
@@ -0,0 +1,472 @@
+/// The simulated fleet's hosts and links, its disturbances, and the check.
+#include "simulated_settings.hpp"
+
+#include <proxy/records.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace settings_test {
+
+namespace {
+
+constexpr duration OneWay = 1ms;
+constexpr duration StoreWork = 4ms;
+constexpr duration TickInterval = 20ms;
+constexpr duration CheckInterval = 50ms;
+constexpr duration RenewalInterval = 500ms;
+constexpr duration DisturbedTime = 24s;
+constexpr duration CalmTime = 8s;
+constexpr unsigned DataCentres = 3;
+constexpr unsigned HostsPerDataCentre = 6;
+constexpr unsigned FastHosts = 2; ///< Of each data centre.
+constexpr double FastMbps = 200;
+constexpr double SlowMbps = 10;
+constexpr std::uint16_t FirstPort = 7000;
+
+duration transferTime(std::size_t Bytes, double Mbps) {
+  return duration(
+      static_cast<duration::rep>(static_cast<double>(Bytes) * 8 / Mbps));
+}
+
+std::string formatDocument(std::uint64_t Version, std::size_t Bytes) {
+  return R"({"Version":)" + std::to_string(Version) +
+         R"(,"Routes":[],"Services":[],"Limits":{},"Padding":")" +
+         std::string(Bytes, 'x') + "\"}";
+}
+
+} // namespace
+
+simulated_settings::simulated_settings(unsigned Seed) : Random(Seed) {
+  for (unsigned Number = 0; Number < DataCentres * HostsPerDataCentre;
+       ++Number) {
+    const std::string Name = "host-" + std::to_string(Number);
+    simulated_host &Host = Hosts[Name];
+    Host.Name = Name;
+    Host.DataCentre = "dc-" + std::to_string(Number % DataCentres);
+    Host.Where = {"10.0.0.1", static_cast<std::uint16_t>(FirstPort + Number)};
+    Host.LinkMbps =
+        Number / DataCentres < FastHosts ? FastMbps : SlowMbps * (1 + draw());
+  }
+  writeVersion(1000);
+  for (auto &[Name, Host] : Hosts)
+    startHost(Host);
+}
+
+duration simulated_settings::drawSpan(duration Least, duration Most) {
+  return duration(std::uniform_int_distribution<duration::rep>(
+      Least.count(), Most.count())(Random));
+}
+
+simulated_host &simulated_settings::drawHost() {
+  return std::next(Hosts.begin(),
+                   static_cast<std::ptrdiff_t>(Random() % Hosts.size()))
+      ->second;
+}
+
+void simulated_settings::trace(const std::string &Text) {
+  Trace.push_back(std::to_string(toSeconds(Queue.Now - instant(1000s))) + ' ' +
+                  Text);
+}
+
+void simulated_settings::post(simulated_host &Host, duration Delay,
+                              std::function<void()> Run) {
+  if (Queue.Now < Host.SlowUntil)
+    Delay += drawSpan(0ms, 300ms);
+  Queue.at(Queue.Now + Delay, [this, &Host, Incarnation = Host.Incarnation,
+                               Run = std::move(Run)]() mutable {
+    if (!Host.Running || Host.Incarnation != Incarnation)
+      return;
+    if (Queue.Now < Host.SuspendedUntil)
+      post(Host, Host.SuspendedUntil - Queue.Now, std::move(Run));
+    else
+      Run();
+  });
+}
+
+void simulated_settings::startHost(simulated_host &Host) {
+  Host.Running = true;
+  Host.Incarnation += 1;
+  Host.Version = 0;
+  Host.IsRenewing = false;
+  proxy::host_identity Identity;
+  Identity.Name = Host.Name;
+  Identity.DataCentre = Host.DataCentre;
+  Identity.PeerEndpoint = Host.Where;
+  Host.Host = proxy::makeHost(Identity);
+  const auto Sink = [this, &Host](proxy::event Event) {
+    takeEvent(Host, std::move(Event));
+  };
+  Host.Gateway = std::make_unique<serve::store_gateway>(
+      makeLinks(Host), Sink,
+      [this, &Host](std::string_view Event,
+                    const std::vector<proxy::effects::log_field> &) {
+        if (Event != "store.calls")
+          trace(Host.Name + ' ' + std::string(Event));
+      });
+  Host.Store = std::make_unique<platform::store_client>(
+      [this, &Host](duration Delay, std::function<void()> Run) {
+        post(Host, Delay, std::move(Run));
+      },
+      Host.Gateway->makeChannels(), Sink,
+      [](const std::string &, const std::string &) {},
+      [](const proxy::effects::order_promotion &) { return true; },
+      [this] { return Queue.Now; });
+  Host.Store->setReceiptSink(
+      [this, &Host](const platform::watch_receipt &Receipt,
+                    std::uint64_t Version) {
+        if (Version != 0 || Receipt.ProofAge > 2500ms)
+          trace(Host.Name + " has " + std::to_string(Version) + " via " +
+                (Receipt.Via.empty() ? "store" : Receipt.Via) + " proof " +
+                std::to_string(toSeconds(Receipt.ProofAge)));
+      });
+  Host.Gateway->setWatchServer(
+      [&Host](const platform::http_call &Call, platform::http_callback Done) {
+        return Host.Store->serveWatch(Call, std::move(Done));
+      });
+  Host.Store->start();
+  proxy::host_record Record;
+  Record.PeerEndpoint = Host.Where;
+  Record.DataCentre = Host.DataCentre;
+  Record.LinkMbps = Host.LinkMbps;
+  Store.write("bronzespar/hosts/" + Host.Name, proxy::formatRecord(Record));
+  disturbed(Host, Queue.Now);
+  tick(Host);
+  renew(Host);
+  changeRecord(Host);
+}
+
+void simulated_settings::stopHost(simulated_host &Host) {
+  Host.Running = false;
+  Host.Incarnation += 1;
+  Host.Relays.Pending.clear();
+  Host.PeerLinks.clear();
+  Host.StoreLinks.clear();
+  Host.Store.reset();
+  Host.Gateway.reset();
+  disturbed(Host, instant::max());
+}
+
+void simulated_settings::restartHost(simulated_host &Host, bool Moves) {
+  stopHost(Host);
+  trace(Host.Name + (Moves ? " ends, moves" : " ends"));
+  const duration Down = drawSpan(200ms, 3s);
+  if (Down > 1s)
+    Queue.at(Queue.Now + 1s, [this, &Host] {
+      if (!Host.Running)
+        Store.remove("bronzespar/hosts/" + Host.Name);
+    });
+  if (Moves)
+    Host.Where.Port = static_cast<std::uint16_t>(Host.Where.Port + 100);
+  Queue.at(Queue.Now + Down, [this, &Host] { startHost(Host); });
+}
+
+void simulated_settings::takeEvent(simulated_host &Host, proxy::event Event) {
+  if (auto *Changed = std::get_if<proxy::events::settings_changed>(&Event)) {
+    if (Changed->Settings.Version < Host.Version)
+      Violations.push_back(Host.Name + " goes back to version " +
+                           std::to_string(Changed->Settings.Version));
+    Host.Version = Changed->Settings.Version;
+  }
+  proxy::effect_list Effects;
+  proxy::step(*Host.Host, std::move(Event), Queue.Now, Effects);
+  for (const proxy::effect &Effect : Effects) {
+    if (const auto *Relays =
+            std::get_if<proxy::effects::set_store_relays>(&Effect))
+      Host.Gateway->setRelays(Relays->Relays);
+    if (const auto *Sources =
+            std::get_if<proxy::effects::set_watch_sources>(&Effect))
+      Host.Gateway->setWatchSources(Sources->Sources);
+  }
+}
+
+serve::gateway_links simulated_settings::makeLinks(simulated_host &Host) {
+  serve::gateway_links Links;
+  Links.OpenStoreLink = [this, &Host] {
+    auto Link = std::make_shared<simulated_store_link>();
+    Host.StoreLinks.push_back(Link);
+    return serve::store_link{
+        [this, &Host, Link](platform::http_call Call,
+                            platform::http_callback Done) {
+          Link->Calls.push_back({std::move(Call), std::move(Done)});
+          if (!Link->Busy)
+            nextCall(Host, Link);
+        },
+        [this, &Host, Link] {
+          if (Link->Busy && Link->Calls.front().Call.IsLongPoll)
+            post(Host, 0ms, [this, Link, Number = Link->CallNumber] {
+              endCall(Link, Number, {}, true);
+            });
+        }};
+  };
+  Links.CallStoreOnce = [this, &Host](const platform::http_call &Call,
+                                      const platform::http_callback &Done) {
+    sendToStore(Host, Call, Done);
+  };
+  Links.Relay = [this, &Host](const endpoint &Peer,
+                              const platform::http_call &Call,
+                              serve::relay_callback Done) {
+    relay(Host, Peer, Call, std::move(Done));
+  };
+  Links.AbandonWatches = [&Host] { serve::abandonWatches(Host.Relays); };
+  Links.Now = [this] { return Queue.Now; };
+  return Links;
+}
+
+void simulated_settings::nextCall(
+    simulated_host &Host, const std::shared_ptr<simulated_store_link> &Link) {
+  if (Link->Calls.empty())
+    return;
+  Link->Busy = true;
+  const std::uint64_t Number = ++Link->CallNumber;
+  const platform::http_call &Call = Link->Calls.front().Call;
+  post(Host, Call.Timeout,
+       [this, Link, Number] { endCall(Link, Number, {}, true); });
+  if (Link->Connection.Silent)
+    return;
+  const std::uint64_t Generation = Link->Connection.Generation;
+  sendToStore(Host, Call,
+              [this, Link, Number, Generation](platform::http_answer Answer) {
+                if (Link->Connection.Silent ||
+                    Link->Connection.Generation != Generation)
+                  return;
+                endCall(Link, Number, std::move(Answer), false);
+              });
+}
+
+void simulated_settings::endCall(
+    const std::shared_ptr<simulated_store_link> &Link, std::uint64_t Number,
+    platform::http_answer Answer, bool Closes) {
+  if (!Link->Busy || Link->CallNumber != Number)
+    return;
+  if (Closes || Answer.Status == 0) {
+    Link->Connection.Silent = false;
+    Link->Connection.Generation += 1;
+  }
+  const simulated_store_link::pending_call Ended =
+      std::move(Link->Calls.front());
+  Link->Calls.pop_front();
+  Link->Busy = false;
+  Ended.Done(std::move(Answer));
+  if (Link->Busy || Link->Calls.empty())
+    return;
+  for (auto &[Name, Host] : Hosts)
+    if (std::find(Host.StoreLinks.begin(), Host.StoreLinks.end(), Link) !=
+        Host.StoreLinks.end())
+      nextCall(Host, Link);
+}
+
+void simulated_settings::sendToStore(
+    simulated_host &Host, const platform::http_call &Call,
+    const simulated_store::answer_function &Done) {
+  if (Queue.Now < Host.StoreCutUntil)
+    return;
+  if (Queue.Now < Host.RefusedUntil) {
+    if (Host.Refusal != refusal::Silence)
+      post(Host, 2 * OneWay + StoreWork, [&Host, Done] {
+        Done({Host.Refusal == refusal::TooMany ? 429U : 0U, {}});
+      });
+    return;
+  }
+  Queue.at(Queue.Now + OneWay + StoreWork, [this, &Host, Call, Done,
+                                            Incarnation = Host.Incarnation] {
+    Store.handle(
+        Call, [this, &Host, Done, Incarnation](platform::http_answer Answer) {
+          if (Host.Incarnation != Incarnation ||
+              Queue.Now < Host.StoreCutUntil || Queue.Now < Host.RefusedUntil)
+            return;
+          Host.ReceivesAt = std::max(Queue.Now, Host.ReceivesAt) +
+                            transferTime(Answer.Body.size(), Host.LinkMbps);
+          post(Host, Host.ReceivesAt - Queue.Now + OneWay,
+               [Done, Answer = std::move(Answer)] { Done(Answer); });
+        });
+  });
+}
+
+void simulated_settings::relay(simulated_host &From, const endpoint &Peer,
+                               const platform::http_call &Call,
+                               serve::relay_callback Done) {
+  const std::uint64_t Number = ++LastRelay;
+  From.Relays.Pending[Number] = {toText(Peer), Queue.Now + Call.Timeout + 100ms,
+                                 Call.IsLongPoll, std::move(Done)};
+  const simulated_connection &Link = From.PeerLinks[Peer];
+  const std::uint64_t Generation = Link.Generation;
+  const auto Found =
+      std::find_if(Hosts.begin(), Hosts.end(), [&](const auto &Entry) {
+        return Entry.second.Where == Peer;
+      });
+  if (Link.Silent || Found == Hosts.end())
+    return;
+  simulated_host &To = Found->second;
+  if (!To.Running) {
+    post(From, 2 * OneWay,
+         [&From, Peer] { serve::failRelaysOf(From.Relays, toText(Peer)); });
+    return;
+  }
+  post(To, OneWay,
+       [this, &From, &To, Peer, Number, Generation, Call,
+        Incarnation = From.Incarnation] {
+         To.Gateway->relayFor(Call, [this, &From, &To, Peer, Number, Generation,
+                                     Incarnation](serve::relay_answer Answer) {
+           if (From.Incarnation != Incarnation)
+             return;
+           Answer.Answer.Via = toText(Peer);
+           const duration Sending =
+               transferTime(Answer.Answer.Body.size(), To.LinkMbps);
+           To.SendsAt = std::max(Queue.Now, To.SendsAt) + Sending;
+           From.ReceivesAt = std::max(To.SendsAt, From.ReceivesAt);
+           post(From, From.ReceivesAt - Queue.Now + OneWay,
+                [&From, Peer, Number, Generation, Answer = std::move(Answer)] {
+                  const simulated_connection &Back = From.PeerLinks[Peer];
+                  if (!Back.Silent && Back.Generation == Generation)
+                    serve::finishRelay(From.Relays, Number, Answer);
+                });
+         });
+       });
+}
+
+void simulated_settings::tick(simulated_host &Host) {
+  Host.Gateway->checkIsolation(Queue.Now);
+  for (const std::string &Name : serve::overdueLinks(Host.Relays, Queue.Now)) {
+    for (auto &[Peer, Link] : Host.PeerLinks)
+      if (toText(Peer) == Name)
+        Link = {false, Link.Generation + 1};
+    serve::failRelaysOf(Host.Relays, Name);
+  }
+  Host.Store->answerOverduePeers();
+  post(Host, TickInterval, [this, &Host] { tick(Host); });
+}
+
+void simulated_settings::renew(simulated_host &Host) {
+  Host.Store->carryOut(proxy::effects::renew_lease{1});
+  post(Host, RenewalInterval, [this, &Host] { renew(Host); });
+}
+
+/// Calls on this channel are rare, so that its connection may have gone silent
+/// long before one is made.
+void simulated_settings::changeRecord(simulated_host &Host) {
+  post(Host, drawSpan(2s, 15s), [this, &Host] {
+    Host.Store->carryOut(proxy::effects::change_records{});
+    changeRecord(Host);
+  });
+}
+
+void simulated_settings::writeVersion(std::size_t Bytes) {
+  Versions += 1;
+  const std::uint64_t Number = 10 * Versions + Random() % 10;
+  Confirmed.push_back({Number, Queue.Now});
+  trace("version " + std::to_string(Number) + " bytes " +
+        std::to_string(Bytes));
+  Store.write("op/config", formatDocument(Number, Bytes));
+}
+
+void simulated_settings::scheduleVersions() {
+  const instant DisturbedUntil = End - CalmTime;
+  instant At = Queue.Now;
+  while (At < DisturbedUntil) {
+    At += drawSpan(200ms, 4s);
+    const bool IsLarge = draw() < 0.15;
+    const unsigned Burst = !IsLarge && draw() < 0.3 ? 4 : 1;
+    for (unsigned Number = 0; Number < Burst; ++Number) {
+      const auto Bytes = static_cast<std::size_t>((IsLarge ? 100'000 : 2'000) +
+                                                  8'000 * draw());
+      Queue.at(At, [this, Bytes] { writeVersion(Bytes); });
+      At += drawSpan(50ms, 300ms);
+    }
+  }
+}
+
+void simulated_settings::disturbed(simulated_host &Host, instant Until) {
+  Host.UndisturbedSince = std::max(Host.UndisturbedSince, Until);
+  if (Until != instant::max() && Host.UndisturbedSince == instant::max())
+    Host.UndisturbedSince = Until;
+}
+
+/// Some connections go silent; for the check, those of all hosts count as
+/// reset.
+void simulated_settings::silenceConnections() {
+  trace("connections go silent");
+  const double Share = 0.2 + 0.6 * draw();
+  for (auto &[Name, Host] : Hosts) {
+    for (const auto &Link : Host.StoreLinks)
+      Link->Connection.Silent = Link->Connection.Silent || draw() < Share;
+    for (auto &[Peer, Link] : Host.PeerLinks)
+      Link.Silent = Link.Silent || draw() < Share;
+    disturbed(Host, Queue.Now);
+  }
+}
+
+void simulated_settings::disturb() {
+  if (Queue.Now >= End - CalmTime)
+    return;
+  const double Kind = draw();
+  simulated_host &Host = drawHost();
+  const instant Until = Queue.Now + drawSpan(300ms, 5s);
+  if (Kind < 0.1) {
+    silenceConnections();
+  } else if (Kind < 0.35 && Host.Running) {
+    trace(Host.Name + " is suspended");
+    Host.SuspendedUntil = Until;
+    disturbed(Host, Until);
+  } else if (Kind < 0.5 && Host.Running) {
+    restartHost(Host, draw() < 0.5);
+  } else if (Kind < 0.65 && Host.Running) {
+    trace(Host.Name + " is cut off from the store");
+    Host.StoreCutUntil = Until;
+    disturbed(Host, Until);
+  } else if (Kind < 0.8 && Host.Running) {
+    trace(Host.Name + " is slow");
+    Host.SlowUntil = Until;
+    disturbed(Host, Until);
+  } else if (Kind < 0.85) {
+    trace("the store refuses hosts");
+    StoreStableSince = std::max(StoreStableSince, Until);
+    const auto Refusal = static_cast<refusal>(Random() % 3);
+    for (auto &[Name, Refused] : Hosts)
+      if (draw() < 0.4) {
+        Refused.RefusedUntil = Until;
+        Refused.Refusal = Refusal;
+      }
+  } else if (Kind < 0.9) {
+    trace("the store forgets its history");
+    Store.HistoryFrom = Store.Revision;
+    StoreStableSince = std::max(StoreStableSince, Queue.Now);
+  }
+  Queue.at(Queue.Now + drawSpan(200ms, 2500ms), [this] { disturb(); });
+}
+
+void simulated_settings::check() {
+  const bool IsStoreStable = Queue.Now >= StoreStableSince + ContactPeriod;
+  const duration Allowed =
+      SettingsDeadline +
+      (IsStoreStable ? duration::zero() : duration(UnstableStoreAllowance));
+  std::uint64_t Required = 0;
+  for (const version &Each : Confirmed)
+    if (Each.ConfirmedAt + Allowed < Queue.Now)
+      Required = Each.Number;
+  for (const auto &[Name, Host] : Hosts)
+    if (Host.Running && Host.UndisturbedSince != instant::max() &&
+        Queue.Now >= Host.UndisturbedSince + ContactPeriod &&
+        Host.Version < Required) {
+      trace(Name + " is outdated");
+      Violations.push_back(
+          Name + " has version " + std::to_string(Host.Version) + " and not " +
+          std::to_string(Required) + " at " +
+          std::to_string(toSeconds(Queue.Now - instant(1000s))));
+    }
+  if (Queue.Now < End && Violations.empty())
+    Queue.at(Queue.Now + CheckInterval, [this] { check(); });
+}
+
+void simulated_settings::run() {
+  End = Queue.Now + 5s + DisturbedTime + CalmTime;
+  scheduleVersions();
+  Queue.at(Queue.Now + 5s, [this] { disturb(); });
+  check();
+  for (instant At = Queue.Now; At < End; At += 10ms)
+    Queue.at(At, [this] { Store.endOverdueWatches(); });
+  while (Queue.Now < End && Violations.empty())
+    Queue.runUntil(Queue.Now + 100ms);
+}
+
+} // namespace settings_test
