Give up a late watch without closing the connection to the peer

What callers saw: a watch that a peer did not answer in time closed the connection to it, and the statements that were forwarded on it failed. A large document over a slow link is such a case: its transfer was cut off each time.

Cause: a late answer and a lost connection were one thing.

Change: the caller of a relayed call goes elsewhere at its own time limit. The connection is closed only if nothing has arrived on it, not even a part of a frame, for as long as a peer that is reached may stay silent.

--- a/src/serve/frame_socket.hpp
+++ b/src/serve/frame_socket.hpp
@@ -29,16 +29,24 @@
   void send(std::string_view Payload);
   /// \brief Closes the connection; no hook is called afterwards.
   void close();
+  /// \brief Bytes that have arrived, also of a frame that is not complete.
+  [[nodiscard]] std::uint64_t receivedBytes() const noexcept {
+    return ReceivedBytes;
+  }
 
 private:
   void write();
   void readLength();
   void readBody(std::uint32_t Size);
   void fail();
+  /// Receives a buffer, and calls Done(error) unless the connection is closed.
+  template <class Buffer, class Done>
+  void receive(const Buffer &Into, Done Complete);
 
   boost::asio::ip::tcp::socket Socket;
   frame_hook OnFrame;
   end_hook OnEnd;
+  std::uint64_t ReceivedBytes = 0;
   std::uint32_t Length = 0; ///< Of the incoming frame, big endian.
   std::string Body;
   std::string Outgoing; ///< Waits for the write under way.
--- a/src/serve/peer_links.cpp
+++ b/src/serve/peer_links.cpp
@@ -13,9 +13,6 @@
 
 namespace {
 
-/// Added to a relayed call's own timeout for the transfer to the peer and back.
-constexpr duration RelayTimeoutMargin = std::chrono::milliseconds(100);
-
 relay_answer decodeRelayAnswer(const std::string &Peer,
                                const wire::RelayAnswer &Message) {
   platform::http_answer Answer{Message.status(), textOf(Message.body())};
@@ -170,13 +167,13 @@
 }
 
 void peer_links::expireRelays(instant Now) {
-  for (const std::string &Name : overdueLinks(Relays, Now)) {
-    // The peer may no longer have this connection open, so it is closed and the
-    // next call opens another.
-    if (const auto Link = Sockets.find(Name); Link != Sockets.end())
-      Link->second->close();
-    connectionEnded(Name);
-  }
+  const auto Received = [this](const std::string &Name) {
+    const auto Link = Sockets.find(Name);
+    return Link == Sockets.end() ? 0 : Link->second->receivedBytes();
+  };
+  // The next call opens another connection.
+  for (const std::string &Name : serve::expireRelays(Relays, Now, Received))
+    closeLink(Name);
 }
 
 void peer_links::abandonWatches() { serve::abandonWatches(Relays); }
@@ -184,18 +181,18 @@
 void peer_links::relay(const endpoint &Peer, const platform::http_call &Call,
                        relay_callback Callback) {
   const std::uint64_t Number = ++LastNumber;
-  Relays.Pending[Number] = {toText(Peer),
-                            bootNow() + Call.Timeout + RelayTimeoutMargin,
-                            Call.IsLongPoll, std::move(Callback)};
-  findOrDial(Peer).send(encodeFrame(
-      wire::SessionBody_RelayCall,
-      [&](flatbuffers::FlatBufferBuilder &Builder) {
-        const auto Method = Builder.CreateString(Call.Method);
-        const auto Path = Builder.CreateString(Call.Path);
-        const auto Body = Builder.CreateString(Call.Body);
-        return wire::CreateRelayCall(Builder, Number, Method, Path, Body,
-                                     Call.Timeout.count(), Call.IsLongPoll);
-      }));
+  frame_socket &Link = findOrDial(Peer);
+  addRelay(Relays, Number, toText(Peer), Link.receivedBytes(), Call, bootNow(),
+           std::move(Callback));
+  Link.send(encodeFrame(wire::SessionBody_RelayCall,
+                        [&](flatbuffers::FlatBufferBuilder &Builder) {
+                          const auto Method = Builder.CreateString(Call.Method);
+                          const auto Path = Builder.CreateString(Call.Path);
+                          const auto Body = Builder.CreateString(Call.Body);
+                          return wire::CreateRelayCall(
+                              Builder, Number, Method, Path, Body,
+                              Call.Timeout.count(), Call.IsLongPoll);
+                        }));
 }
 
 void peer_links::carryOut(const proxy::effects::request_vote &Effect) {
--- a/src/serve/relay_table.hpp
+++ b/src/serve/relay_table.hpp
@@ -24,15 +24,27 @@
 /// \brief A relayed call without an answer.
 struct pending_relay {
   std::string Link; ///< Name of the connection that it was sent on.
-  instant Deadline{};
+  std::uint64_t ReceivedBefore = 0; ///< Bytes from the peer when it was sent.
+  instant AnswerBy{};               ///< The caller goes elsewhere then.
+  /// The connection is lost if nothing has arrived on it by then.
+  instant SilentAt{};
   bool IsWatch = false;
-  relay_callback Callback;
+  relay_callback Callback; ///< Empty once the caller has gone elsewhere.
 };
 
 struct relay_table {
   std::map<std::uint64_t, pending_relay> Pending; ///< By the call's number.
 };
 
+/// \brief Bytes that have arrived on a connection, by its name.
+using received_function = std::function<std::uint64_t(const std::string &Link)>;
+
+/// \brief Adds a call that is about to be sent.
+/// \param Received Bytes that have arrived on the connection so far.
+void addRelay(relay_table &Table, std::uint64_t Number, std::string Link,
+              std::uint64_t Received, const platform::http_call &Call,
+              instant Now, relay_callback Callback);
+
 /// \brief Ends a call, if it is still pending.
 void finishRelay(relay_table &Table, std::uint64_t Number, relay_answer Answer);
 
@@ -42,8 +54,12 @@
 /// \brief Ends all watches without an answer, so that they are sent anew.
 void abandonWatches(relay_table &Table);
 
-/// \brief Names the connections with a call whose deadline is over.
-[[nodiscard]] std::vector<std::string> overdueLinks(const relay_table &Table,
-                                                    instant Now);
+/// \brief Ends the calls that were not answered in time.
+/// \returns The connections on which nothing has arrived meanwhile: the peer
+/// may no longer have them open. On others an answer is only late, and
+/// statements of callers go on.
+[[nodiscard]] std::vector<std::string>
+expireRelays(relay_table &Table, instant Now,
+             const received_function &Received);
 
 } // namespace bronzespar::serve
--- a/tests/serve/simulated_settings.hpp
+++ b/tests/serve/simulated_settings.hpp
@@ -87,6 +87,7 @@
 struct simulated_connection {
   bool Silent = false;
   std::uint64_t Generation = 0; ///< Increases when it is opened anew.
+  std::uint64_t Received = 0;   ///< Messages, begun or complete.
 };
 
 /// \brief A connection to the store, which carries one call at a time.
@@ -140,6 +141,7 @@
   std::vector<std::string> Violations;
   std::vector<std::string> Trace;
   std::size_t Versions = 0;
+  bool TracesCalls = false;
 
 private:
   struct version {
@@ -162,6 +164,10 @@
   void restartHost(simulated_host &Host, bool Moves);
   void takeEvent(simulated_host &Host, proxy::event Event);
   [[nodiscard]] serve::gateway_links makeLinks(simulated_host &Host);
+  /// Adds a watch of the document and its end to the trace.
+  void traceCall(const simulated_host &Host, const std::string &Whom,
+                 const platform::http_call &Call,
+                 platform::http_callback &Done);
   void nextCall(simulated_host &Host,
                 const std::shared_ptr<simulated_store_link> &Link);
   void endCall(const std::shared_ptr<simulated_store_link> &Link,
