Publish watch sources when one moves, leaves or gets another link

Cause: sources were published when the number of hosts changed.

Change: they are published with each new version of the hosts' list, which now also counts links.

--- a/src/proxy/host_list.cpp
+++ b/src/proxy/host_list.cpp
@@ -114,11 +114,13 @@
     Lease.RegisteredValue = Record.Value;
 }
 
-/// Whether owners and rates depend on the difference between two records of a
-/// host. Acknowledgements and reports change often and do not matter for them.
+/// Whether owners, rates or watch sources depend on the difference between two
+/// records of a host. Acknowledgements and reports change often and do not
+/// matter for them.
 bool isMoved(const host_record &Old, const host_record &New) {
   return Old.PeerEndpoint != New.PeerEndpoint ||
-         Old.DataCentre != New.DataCentre || Old.Leaving != New.Leaving;
+         Old.DataCentre != New.DataCentre || Old.Leaving != New.Leaving ||
+         Old.LinkMbps != New.LinkMbps;
 }
 
 /// Takes over a host's record from the store, unless a newer change is known.
@@ -187,17 +189,17 @@
 
 void hostChanged(step_context &Step, const std::string &Name,
                  const store_record &Record) {
-  const std::size_t OldCount = Step.State.Hosts.size();
+  const std::uint64_t OldVersion = Step.State.HostsVersion;
   storeHost(Step, Name, Record);
-  if (Step.State.Hosts.size() != OldCount)
+  if (Step.State.HostsVersion != OldVersion)
     publishPeers(Step);
 }
 
 void removeHost(step_context &Step, const std::string &Name,
                 std::uint64_t Revision) {
-  const std::size_t OldCount = Step.State.Hosts.size();
+  const std::uint64_t OldVersion = Step.State.HostsVersion;
   eraseHost(Step, Name, Revision);
-  if (Step.State.Hosts.size() != OldCount)
+  if (Step.State.HostsVersion != OldVersion)
     publishPeers(Step);
 }
 
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -405,7 +405,8 @@
   std::map<endpoint, instant> OwnersAnsweredAt;
   /// When this host, as owner, last sent something on a link.
   std::map<std::string, instant> LinksAnsweredAt;
-  /// Increases when a host joins, leaves, stops or changes its address.
+  /// Increases when a host joins, leaves, stops, or changes its address or
+  /// link.
   std::uint64_t HostsVersion = 1;
   /// Increases when a target is listed, leaves or moves to a data centre.
   std::uint64_t TargetsVersion = 1;
--- a/tests/proxy/witness_tests.cpp
+++ b/tests/proxy/witness_tests.cpp
@@ -157,3 +157,49 @@
   CHECK(Sources.front().Sources.front().Port % 3 ==
         Sources.front().Sources.back().Port % 3);
 }
+
+TEST_CASE("A watch source that comes back at another address is asked there") {
+  host_driver Driver;
+  Driver.becomeReady();
+  listFleet(Driver);
+  Driver.Effects.clear();
+  Driver.removeRecord("hosts/peer-59");
+  auto Published = Driver.takeEffects<effects::set_watch_sources>();
+  REQUIRE(Published.size() == 1);
+  REQUIRE(Published.front().Sources.size() == 2);
+  const unsigned Port = Published.front().Sources.front().Port;
+  const std::string Name = "peer-" + std::to_string(Port - 7000);
+  host_record Record = Driver.Host->Hosts.at(Name).Record;
+  Record.PeerEndpoint.Address = "10.0.2.9";
+  Driver.Effects.clear();
+  Driver.send(events::record_changed{
+      {"hosts/" + Name, formatRecord(Record), ++Driver.Revision, 999}});
+  Published = Driver.takeEffects<effects::set_watch_sources>();
+  REQUIRE(Published.size() == 1);
+  CHECK(Published.front().Sources.front() == Record.PeerEndpoint);
+}
+
+TEST_CASE("A watch source that leaves or gets a slower link is replaced") {
+  host_driver Driver;
+  Driver.becomeReady();
+  listFleet(Driver);
+  Driver.Effects.clear();
+  Driver.removeRecord("hosts/peer-59");
+  auto Published = Driver.takeEffects<effects::set_watch_sources>();
+  REQUIRE(Published.size() == 1);
+  const endpoint Source = Published.front().Sources.front();
+  const std::string Name = "peer-" + std::to_string(Source.Port - 7000);
+  host_record Record = Driver.Host->Hosts.at(Name).Record;
+  SECTION("leaves") { Record.Leaving = true; }
+  SECTION("slower") {
+    for (auto &[Other, Peer] : Driver.Host->Hosts)
+      Peer.Record.LinkMbps = 200;
+    Record.LinkMbps = 10;
+  }
+  Driver.send(events::record_changed{
+      {"hosts/" + Name, formatRecord(Record), ++Driver.Revision, 999}});
+  Published = Driver.takeEffects<effects::set_watch_sources>();
+  REQUIRE(Published.size() == 1);
+  const auto &Sources = Published.front().Sources;
+  CHECK(std::find(Sources.begin(), Sources.end(), Source) == Sources.end());
+}
