Carry the age of a proof with each watch, and ask the store when it is overdue

What callers saw: a version that had been confirmed was not in force in time (CONFIG), on the grown sites, whose hosts learn of versions from one another.

Cause: "nothing new" is a claim about now, and carried no age. A source whose own watch was dead answered it from memory for up to 4.9 s, as any other call that was answered kept it from noticing; hosts that watched the store themselves were that late too. And limits followed one another: a silent source (1.6 s), a relay (1.6 s) because one call had got no answer, the next one; none of them knew how much of the deadline was gone. After lost history the read of the whole prefix added another 1.5 s on a connection that may have been silent for long.

Change: each call of a watch says how old the caller's proof is and when it is overdue (0.7 of the deadline, settings_ms, from the platform's bound). Peers that are asked in turn share that time. Then the host asks the store itself, on a new connection, also if its last direct call failed. Polls of the document last half the deadline (4 s before), those of records and targets 3 s; after changes they are shorter, as these prove no more than the sending of the call. A source tells its peers of a newer proof at once, so that ages do not add up. A peer's answer without a proof, or with an old one, does not count as served. Two hosts that watch through each other age together and part.

Ruled out: shorter limits alone (each is excused for itself, their sum is not); a hop count (the age ends circles as well); two sources asked at once (twice the messages, and both may be behind the same dead watch).

--- a/include/bronzespar/proxy/store_access.hpp
+++ b/include/bronzespar/proxy/store_access.hpp
@@ -38,14 +38,35 @@
   /// each relayed call that failed.
   std::size_t RelayIndex = 0;
   instant LastAnswerAt{}; ///< Last answer of the store or of a peer.
+  /// When a call whose proof is overdue may try a direct call that failed.
+  instant NextOverdueCallAt{};
 };
 
+/// \brief How much of the time that a caller may go without a proof is left.
+enum class proof_need {
+  Ample,
+  Overdue ///< Too little for an answer of a peer that may be silent.
+};
+BOOST_DESCRIBE_ENUM(proof_need, Ample, Overdue)
+
+/// \brief Whether a watch has to go to the store itself.
+/// \param DueAt When the caller's proof becomes too old.
+[[nodiscard]] proof_need needOf(instant DueAt, instant Now);
+
+/// \brief Time that a peer has for the answer to a watch. All peers that are
+/// asked in turn share what is left until the caller's proof is overdue.
+/// \param Usual Time within which a peer answers unless it is lost.
+[[nodiscard]] duration peerWatchTimeout(instant DueAt, instant Now,
+                                        duration Usual);
+
 /// \brief Chooses between a direct and a relayed call.
-/// \param IsWatch The call waits for changes. A watch is never used to probe a
-/// store that failed the last direct call.
+/// \param IsWatch The call waits for changes, so that it does not probe a store
+/// that failed the last direct call.
+/// \param Need An overdue call probes the store sooner than others, as the
+/// failure may have been that of one connection.
 [[nodiscard]] store_access chooseStoreAccess(store_access_state &Access,
                                              bool HasPeers, bool IsWatch,
-                                             instant Now);
+                                             proof_need Need, instant Now);
 
 /// \brief Records the result of a direct call.
 /// \remarks A watch that ended without an answer is ignored: other calls are
--- a/src/proxy/store_access.cpp
+++ b/src/proxy/store_access.cpp
@@ -2,12 +2,19 @@
 /// the peer whose watch this host shares.
 #include <bronzespar/proxy/store_access.hpp>
 
+#include <algorithm>
+
 namespace bronzespar::proxy {
 
 namespace {
 
 /// Time between direct calls while they fail.
 constexpr duration ProbeInterval = std::chrono::milliseconds(1500);
+/// The same for watches whose proof is overdue.
+constexpr duration OverdueProbeInterval = std::chrono::milliseconds(500);
+/// A peer that answers at all answers within this time when it has something to
+/// tell; a shorter wait would end in vain.
+constexpr duration MinPeerWatchTimeout = std::chrono::milliseconds(300);
 /// A host without any answer for this long is isolated. Two consecutive calls
 /// have timed out by then.
 constexpr duration IsolationTimeout = std::chrono::milliseconds(1600);
@@ -26,10 +33,23 @@
 
 } // namespace
 
+proof_need needOf(instant DueAt, instant Now) {
+  return DueAt < Now + MinPeerWatchTimeout ? proof_need::Overdue
+                                           : proof_need::Ample;
+}
+
+duration peerWatchTimeout(instant DueAt, instant Now, duration Usual) {
+  return std::clamp(DueAt - Now, MinPeerWatchTimeout, Usual);
+}
+
 store_access chooseStoreAccess(store_access_state &Access, bool HasPeers,
-                               bool IsWatch, instant Now) {
+                               bool IsWatch, proof_need Need, instant Now) {
   if (!Access.DirectFailed || !HasPeers)
     return store_access::Direct;
+  if (Need == proof_need::Overdue && Now >= Access.NextOverdueCallAt) {
+    Access.NextOverdueCallAt = Now + OverdueProbeInterval;
+    return store_access::Direct;
+  }
   if (!IsWatch && Now >= Access.NextDirectCallAt) {
     Access.NextDirectCallAt = Now + ProbeInterval;
     return store_access::Direct;
--- a/src/serve/serve_settings.cpp
+++ b/src/serve/serve_settings.cpp
@@ -30,6 +30,9 @@
   return nullptr;
 }
 
+/// Calls to the store take up to a few hundred milliseconds.
+constexpr duration MinSettingsDeadline = std::chrono::milliseconds(1000);
+
 const ini_entry &entryOf(const std::vector<ini_section> &Sections,
                          std::string_view Path, std::string_view Name) {
   if (const ini_entry *Entry = findIn(Sections, Path, Name))
@@ -87,6 +90,12 @@
       secondsOf(numberOf(Sections, "bounds", "grace_period_s"));
   Settings.Identity.DrainPeriod =
       millisecondsOf(numberOf(Sections, "bounds", "drain_ms"));
+  if (findIn(Sections, "bounds", "settings_ms") != nullptr)
+    Settings.SettingsDeadline =
+        millisecondsOf(numberOf(Sections, "bounds", "settings_ms"));
+  if (Settings.SettingsDeadline < MinSettingsDeadline)
+    throw badValue(entryOf(Sections, "bounds", "settings_ms"),
+                   "at least 1000 ms");
   return Settings;
 }
 
--- a/src/serve/serve_settings.hpp
+++ b/src/serve/serve_settings.hpp
@@ -17,6 +17,9 @@
   endpoint Readiness;
   endpoint Metrics;
   endpoint Store;
+  /// A version of the operators' document is in force this long after its
+  /// confirmation; the setting `settings_ms`.
+  duration SettingsDeadline = std::chrono::milliseconds(3000);
   endpoint PromotionEndpoint; ///< Takes orders to promote; the setting `duty`.
 };
 
--- a/src/serve/session_daemon.cpp
+++ b/src/serve/session_daemon.cpp
@@ -63,7 +63,7 @@
             [this](const effects::order_promotion &Order) {
               return proxy::mayOrder(*Host, Order, bootNow());
             },
-            bootNow),
+            bootNow, Settings.SettingsDeadline),
         Readiness(
             Io, Settings.Readiness,
             [this](const std::string &Path) { return answerReadiness(Path); }),
--- a/src/serve/store_gateway.cpp
+++ b/src/serve/store_gateway.cpp
@@ -32,11 +32,17 @@
          Answer.Status != StatusUnavailable;
 }
 
-proxy::watch_source_result
-watchSourceResultOf(const relay_answer &Answer) noexcept {
+/// When the caller's proof becomes too old.
+instant dueAt(const platform::http_call &Call) noexcept {
+  return Call.Demand ? Call.Demand->ProvenAt + Call.Demand->MaxAge
+                     : instant::max();
+}
+
+proxy::watch_source_result watchSourceResultOf(const relay_answer &Answer,
+                                               bool IsProofLate) noexcept {
   if (!Answer.PeerAnswered)
     return proxy::watch_source_result::Silent;
-  if (isServed(Answer.Answer))
+  if (isServed(Answer.Answer) && !IsProofLate)
     return proxy::watch_source_result::Served;
   return Answer.Answer.Status == StatusUnavailable
              ? proxy::watch_source_result::Starting
@@ -127,47 +133,71 @@
 
 void store_gateway::call(const store_link &Link, platform::http_call Call,
                          platform::http_callback Done) {
-  const auto Source = Call.IsLongPoll
-                          ? proxy::chooseWatchSource(WatchSourceState,
-                                                     WatchSources, Links.Now())
-                          : std::nullopt;
+  const instant Now = Links.Now();
+  const auto Need = proxy::needOf(dueAt(Call), Now);
+  const auto Source =
+      Call.IsLongPoll && Need != proxy::proof_need::Overdue
+          ? proxy::chooseWatchSource(WatchSourceState, WatchSources, Now)
+          : std::nullopt;
   if (Source) {
     callWatchSource(*Source, std::move(Call), std::move(Done));
     return;
   }
   const auto Access = proxy::chooseStoreAccess(AccessState, !RelayPeers.empty(),
-                                               Call.IsLongPoll, Links.Now());
+                                               Call.IsLongPoll, Need, Now);
   if (Access == proxy::store_access::Relay)
     callThroughPeer(std::move(Call), std::move(Done));
+  else if (Need == proxy::proof_need::Overdue)
+    // The channel's connection may have gone silent while it was not used.
+    callDirectly(Links.CallStoreOnce, std::move(Call), std::move(Done));
   else
-    callDirectly(Link, std::move(Call), std::move(Done));
+    callDirectly(Link.Call, std::move(Call), std::move(Done));
 }
 
 void store_gateway::callWatchSource(const endpoint &Source,
                                     platform::http_call Call,
                                     platform::http_callback Done) {
-  Call.Timeout = PeerWatchAnswerTimeout;
+  Call.Timeout =
+      proxy::peerWatchTimeout(dueAt(Call), Links.Now(), PeerWatchAnswerTimeout);
   Links.Relay(Source, Call,
-              [this, Source, Done = std::move(Done)](relay_answer Answer) {
-                proxy::recordWatchSource(WatchSourceState, Source,
-                                         watchSourceResultOf(Answer),
-                                         Links.Now());
+              [this, Source, Sent = sentWatch(Call),
+               Done = std::move(Done)](relay_answer Answer) {
+                proxy::recordWatchSource(
+                    WatchSourceState, Source,
+                    watchSourceResultOf(Answer, isProofLate(Sent, Answer)),
+                    Links.Now());
                 Done(std::move(Answer.Answer));
               });
 }
 
-void store_gateway::callDirectly(const store_link &Link,
+store_gateway::sent_watch
+store_gateway::sentWatch(const platform::http_call &Call) const {
+  return {Links.Now(), Call.Demand};
+}
+
+bool store_gateway::isProofLate(const sent_watch &Sent,
+                                const relay_answer &Answer) const {
+  if (!Sent.Demand || !isServed(Answer.Answer))
+    return false;
+  if (!Answer.Answer.Proof)
+    return true;
+  const instant ProvenAt = std::max(Sent.Demand->ProvenAt,
+                                    Sent.At + Answer.Answer.Proof->ValidAfter);
+  return proxy::needOf(ProvenAt + Sent.Demand->MaxAge, Links.Now()) ==
+         proxy::proof_need::Overdue;
+}
+
+void store_gateway::callDirectly(const platform::call_function &Link,
                                  platform::http_call Call,
                                  platform::http_callback Done) {
   sent_call Sent{Call.Path.substr(0, Call.Path.find('?')), Call.IsLongPoll,
                  Links.Now()};
   CallCounts[callKind(Sent.Path)] += 1;
-  Link.Call(std::move(Call),
-            [this, Sent = std::move(Sent),
-             Done = std::move(Done)](const platform::http_answer &Answer) {
-              recordDirectResult(Sent, Answer);
-              Done(Answer);
-            });
+  Link(std::move(Call), [this, Sent = std::move(Sent), Done = std::move(Done)](
+                            const platform::http_answer &Answer) {
+    recordDirectResult(Sent, Answer);
+    Done(Answer);
+  });
 }
 
 void store_gateway::recordDirectResult(const sent_call &Call,
@@ -199,13 +229,19 @@
 void store_gateway::callThroughPeer(platform::http_call Call,
                                     platform::http_callback Done) {
   if (Call.IsLongPoll)
-    Call.Timeout = PeerWatchAnswerTimeout;
+    Call.Timeout = proxy::peerWatchTimeout(dueAt(Call), Links.Now(),
+                                           PeerWatchAnswerTimeout);
+
   const endpoint &Peer = RelayPeers[AccessState.RelayIndex % RelayPeers.size()];
-  Links.Relay(Peer, Call, [this, Done = std::move(Done)](relay_answer Answer) {
-    proxy::recordRelayedCall(AccessState, Answer.PeerAnswered,
-                             isServed(Answer.Answer), Links.Now());
-    Done(std::move(Answer.Answer));
-  });
+  Links.Relay(Peer, Call,
+              [this, Sent = sentWatch(Call),
+               Done = std::move(Done)](relay_answer Answer) {
+                proxy::recordRelayedCall(AccessState, Answer.PeerAnswered,
+                                         isServed(Answer.Answer) &&
+                                             !isProofLate(Sent, Answer),
+                                         Links.Now());
+                Done(std::move(Answer.Answer));
+              });
 }
 
 void store_gateway::relayFor(platform::http_call Call, relay_callback Done) {
@@ -222,6 +258,8 @@
   // calls.
   Links.CallStoreOnce(std::move(Call),
                       [Done = std::move(Done)](platform::http_answer Answer) {
+                        // The store answered after the call had arrived here.
+                        Answer.Proof = {duration::zero(), 1};
                         Done({std::move(Answer), true, false});
                       });
 }
--- a/src/serve/store_gateway.hpp
+++ b/src/serve/store_gateway.hpp
@@ -85,11 +85,20 @@
     bool IsLongPoll = false;
     instant SentAt{};
   };
+  /// A watch that a peer was asked to answer.
+  struct sent_watch {
+    instant At{};
+    std::optional<platform::proof_demand> Demand;
+  };
+  [[nodiscard]] sent_watch sentWatch(const platform::http_call &Call) const;
+  /// Whether the caller's proof is overdue even after an answer.
+  [[nodiscard]] bool isProofLate(const sent_watch &Sent,
+                                 const relay_answer &Answer) const;
   platform::call_function makeStoreChannel();
   void call(const store_link &Link, platform::http_call Call,
             platform::http_callback Done);
-  void callDirectly(const store_link &Link, platform::http_call Call,
-                    platform::http_callback Done);
+  void callDirectly(const platform::call_function &Link,
+                    platform::http_call Call, platform::http_callback Done);
   void callWatchSource(const endpoint &Source, platform::http_call Call,
                        platform::http_callback Done);
   void callThroughPeer(platform::http_call Call, platform::http_callback Done);
--- a/tests/platform/odd_entry_tests.cpp
+++ b/tests/platform/odd_entry_tests.cpp
@@ -173,7 +173,7 @@
   Fixture.answer(EmptyList);
   std::string Passed;
   REQUIRE(Source.Client.serveWatch(
-      watchCall(TargetsPrefix, 5, 1s),
+      watchCall(TargetsPrefix, 5, 1s, 500ms),
       [&](const http_answer &Answer) { Passed = Answer.Body; }));
   Source.answer(formatWatch(pageWithOddEntries()));
   REQUIRE_FALSE(Passed.empty());
--- a/tests/platform/watch_tests.cpp
+++ b/tests/platform/watch_tests.cpp
@@ -31,7 +31,7 @@
                       Calls.push_back({std::move(Call), std::move(Done)});
                     },
                     "op/",
-                    duration::zero(),
+                    watch_timing{0ms, 1500ms, 2100ms},
                     {[this](const std::vector<store_change> &Changes) {
                        Reported.insert(Reported.end(), Changes.begin(),
                                        Changes.end());
@@ -251,3 +251,78 @@
   REQUIRE(Prefix.Calls.size() == 1);
   CHECK(Prefix.Calls.front().Call.Path == "/v1/kv-range?Prefix=op/");
 }
+
+TEST_CASE("A watch source tells its peers how old its own proof is") {
+  // A host whose own watch was dead answered that nothing had changed, and the
+  // hosts behind it could not know that they were seconds late.
+  watch_fixture Prefix;
+  Prefix.Now = Start + 3s;
+  const auto Answer = Prefix.watchAsPeer(5);
+  Prefix.Now += PeerWatchTimeout;
+  Prefix.Watch.answerOverduePeers();
+  REQUIRE(Answer->has_value());
+  REQUIRE((*Answer)->Proof);
+  CHECK((*Answer)->Proof->ValidAfter == -3s);
+  CHECK((*Answer)->Proof->Hops == 1);
+}
+
+TEST_CASE("A watch whose connection is dead ends before settings are overdue") {
+  watch_fixture Prefix;
+  CHECK(Prefix.Calls.front().Call.Timeout < 3s);
+}
+
+TEST_CASE("A peer is told at once that the source has a newer proof") {
+  watch_fixture Prefix;
+  Prefix.Now = Start + 1400ms;
+  const auto Answer = Prefix.watchAsPeer(5);
+  CHECK_FALSE(Answer->has_value());
+  Prefix.Now = Start + 1510ms;
+  Prefix.answer({StatusOk, formatWatch({{}, 5})});
+  REQUIRE(Answer->has_value());
+  REQUIRE((*Answer)->Proof);
+  // The store held the call for 1.5 s, of which 100 ms were left.
+  CHECK((*Answer)->Proof->ValidAfter == 100ms);
+}
+
+TEST_CASE("A change that was waited for is followed by a short wait, as it "
+          "proves no more than the call before it") {
+  watch_fixture Prefix;
+  Prefix.Now = Start + 1s;
+  watch_page Changed;
+  Changed.Changes.push_back({{"op/config", "{}", 6, 0}, false});
+  Changed.Revision = 6;
+  Prefix.answer({StatusOk, formatWatch(Changed)});
+  Prefix.runFor(20ms);
+  REQUIRE(Prefix.Calls.size() == 1);
+  CHECK(Prefix.Calls.front().Call.Path.ends_with("WaitMs=500"));
+  CHECK(Prefix.Calls.front().Call.Demand->ProvenAt == Start);
+}
+
+TEST_CASE("An answer of a host that tells no age proves nothing") {
+  watch_fixture Prefix;
+  Prefix.Now = Start + 1s;
+  http_answer Unproven{StatusOk, formatWatch({{}, 5})};
+  Unproven.Via = "10.0.0.1:7560";
+  Prefix.answer(std::move(Unproven));
+  Prefix.runFor(20ms);
+  REQUIRE(Prefix.Calls.size() == 1);
+  CHECK(Prefix.Calls.front().Call.Demand->ProvenAt == Start);
+}
+
+TEST_CASE("Two hosts that watch through each other prove nothing") {
+  watch_fixture First;
+  watch_fixture Second;
+  First.Now = Second.Now = Start + 2s;
+  const auto OfFirst = First.watchAsPeer(5);
+  const auto OfSecond = Second.watchAsPeer(5);
+  First.Now = Second.Now += PeerWatchTimeout;
+  First.Watch.answerOverduePeers();
+  REQUIRE(OfFirst->has_value());
+  http_answer Passed = **OfFirst;
+  Passed.Via = "first";
+  CHECK(Start + 2s + Passed.Proof->ValidAfter == Start);
+  Second.answer(std::move(Passed));
+  Second.runFor(20ms);
+  REQUIRE(Second.Calls.size() == 1);
+  CHECK(Second.Calls.front().Call.Demand->ProvenAt <= Start);
+}
--- a/tests/proxy/parts_tests.cpp
+++ b/tests/proxy/parts_tests.cpp
@@ -102,23 +102,49 @@
 TEST_CASE(
     "A host uses relays when direct calls fail, and tries directly again") {
   store_access_state Path;
-  CHECK(chooseStoreAccess(Path, true, false, Start) == store_access::Direct);
-  recordDirectCall(Path, call_result::NoAnswer, Start);
-  CHECK(chooseStoreAccess(Path, true, false, Start + 100ms) ==
-        store_access::Relay);
-  CHECK(chooseStoreAccess(Path, false, false, Start + 100ms) ==
+  CHECK(chooseStoreAccess(Path, true, false, proof_need::Ample, Start) ==
         store_access::Direct);
+  recordDirectCall(Path, call_result::NoAnswer, Start);
+  CHECK(chooseStoreAccess(Path, true, false, proof_need::Ample,
+                          Start + 100ms) == store_access::Relay);
+  CHECK(chooseStoreAccess(Path, false, false, proof_need::Ample,
+                          Start + 100ms) == store_access::Direct);
   // A call that waits for changes would not show for seconds that the store is
   // back.
-  CHECK(chooseStoreAccess(Path, true, true, Start + 10s) ==
+  CHECK(chooseStoreAccess(Path, true, true, proof_need::Ample, Start + 10s) ==
         store_access::Relay);
-  CHECK(chooseStoreAccess(Path, true, false, Start + 10s) ==
+  CHECK(chooseStoreAccess(Path, true, false, proof_need::Ample, Start + 10s) ==
         store_access::Direct);
   recordDirectCall(Path, call_result::Served, Start + 10s);
-  CHECK(chooseStoreAccess(Path, true, true, Start + 10s) ==
+  CHECK(chooseStoreAccess(Path, true, true, proof_need::Ample, Start + 10s) ==
         store_access::Direct);
 }
 
+TEST_CASE("Peers that are asked in turn share the time until a proof is "
+          "overdue") {
+  const instant Due = Start + 2100ms;
+  CHECK(peerWatchTimeout(Due, Start, 1500ms) == 1500ms);
+  CHECK(peerWatchTimeout(Due, Start + 1500ms, 1500ms) == 600ms);
+  CHECK(needOf(Due, Start + 1800ms) == proof_need::Ample);
+  CHECK(needOf(Due, Start + 1801ms) == proof_need::Overdue);
+}
+
+TEST_CASE("One lost call does not keep an overdue watch from the store") {
+  // A rare call was lost on a connection that had gone silent long before; the
+  // host then asked peers, silent ones too, for as long as it took.
+  store_access_state Path;
+  recordDirectCall(Path, call_result::NoAnswer, Start);
+  CHECK(chooseStoreAccess(Path, true, true, proof_need::Ample, Start + 100ms) ==
+        store_access::Relay);
+  CHECK(chooseStoreAccess(Path, true, true, proof_need::Overdue,
+                          Start + 100ms) == store_access::Direct);
+  // Hundreds of hosts do so when the store is lost to all.
+  CHECK(chooseStoreAccess(Path, true, true, proof_need::Overdue,
+                          Start + 200ms) == store_access::Relay);
+  CHECK(chooseStoreAccess(Path, true, true, proof_need::Overdue,
+                          Start + 700ms) == store_access::Direct);
+}
+
 TEST_CASE("A host is isolated once neither store nor peers answer") {
   store_access_state Path;
   recordDirectCall(Path, call_result::Served, Start);
@@ -138,8 +164,8 @@
   store_access_state Path;
   recordDirectCall(Path, call_result::Served, Start);
   recordDirectCall(Path, call_result::WatchEnded, Start + 100ms);
-  CHECK(chooseStoreAccess(Path, true, false, Start + 100ms) ==
-        store_access::Direct);
+  CHECK(chooseStoreAccess(Path, true, false, proof_need::Ample,
+                          Start + 100ms) == store_access::Direct);
   CHECK_FALSE(isIsolated(Path, Start + 10s));
 }
 
--- a/tests/serve/settings_tests.cpp
+++ b/tests/serve/settings_tests.cpp
@@ -39,6 +39,7 @@
   REQUIRE(Settings);
   CHECK(Settings->Identity.GracePeriod == 6s);
   CHECK(Settings->Identity.DrainPeriod == 7s);
+  CHECK(Settings->SettingsDeadline == 3s);
   CHECK(Settings->Store == endpoint{"10.200.1.7", 8466});
   CHECK(Settings->Identity.LinkMbps == 0);
   std::string WithLink = ValidSettings;
@@ -46,6 +47,12 @@
   const auto Linked = parseServeSettings(WithLink, Fault);
   REQUIRE(Linked);
   CHECK(Linked->Identity.LinkMbps == 20);
+  const auto Timed =
+      parseServeSettings(ValidSettings + "settings_ms = 5000\n", Fault);
+  REQUIRE(Timed);
+  CHECK(Timed->SettingsDeadline == 5s);
+  CHECK_FALSE(parseServeSettings(ValidSettings + "settings_ms = 20\n", Fault));
+  CHECK(Fault == "line 15: settings_ms is not at least 1000 ms");
   std::string Missing = ValidSettings;
   Missing.erase(Missing.find("duty"),
                 std::string("duty = 10.200.0.2:8466\n").size());
