Hold each claim of a proof against the truth, and spend fewer calls on proofs

Found with a stronger oracle in the simulated fleet: no host may claim to be more current than it is, and a host in touch must have a proof within the deadline also while no version is written. Hosts with lossy links and suspensions of a third of the fleet are new. What it found, each mended here:

- an overdue watch of records or targets used up the probe that the document's watch needed: only the document's probes a store that failed the last call;
- a read after lost history went through a relay for 1.5 s: it shares the budget;
- a source that had less than its usual time counted as silent, and all watches of the host went to the store for 3 s.

--- a/include/bronzespar/proxy/store_access.hpp
+++ b/include/bronzespar/proxy/store_access.hpp
@@ -62,11 +62,11 @@
 /// \brief Chooses between a direct and a relayed call.
 /// \param IsWatch The call waits for changes, so that it does not probe a store
 /// that failed the last direct call.
-/// \param Need An overdue call probes the store sooner than others, as the
-/// failure may have been that of one connection.
+/// \param Probes The call is overdue and goes to the store sooner than others,
+/// as the failure may have been that of one connection.
 [[nodiscard]] store_access chooseStoreAccess(store_access_state &Access,
                                              bool HasPeers, bool IsWatch,
-                                             proof_need Need, instant Now);
+                                             bool Probes, instant Now);
 
 /// \brief Records the result of a direct call.
 /// \remarks A watch that ended without an answer is ignored: other calls are
--- a/src/proxy/store_access.cpp
+++ b/src/proxy/store_access.cpp
@@ -43,10 +43,10 @@
 }
 
 store_access chooseStoreAccess(store_access_state &Access, bool HasPeers,
-                               bool IsWatch, proof_need Need, instant Now) {
+                               bool IsWatch, bool Probes, instant Now) {
   if (!Access.DirectFailed || !HasPeers)
     return store_access::Direct;
-  if (Need == proof_need::Overdue && Now >= Access.NextOverdueCallAt) {
+  if (Probes && Now >= Access.NextOverdueCallAt) {
     Access.NextOverdueCallAt = Now + OverdueProbeInterval;
     return store_access::Direct;
   }
--- a/src/serve/session_daemon.cpp
+++ b/src/serve/session_daemon.cpp
@@ -27,8 +27,7 @@
 
 /// Resolution of all deadlines; a shorter interval costs more processor time.
 constexpr duration TickInterval = std::chrono::milliseconds(20);
-/// An answer with an older proof is logged.
-constexpr duration LateProofAge = std::chrono::milliseconds(2500);
+
 constexpr unsigned StatusReady = 200;
 constexpr unsigned StatusNotReady = 503;
 constexpr unsigned StatusUnknownPath = 404;
@@ -37,6 +36,7 @@
   session_daemon(const serve_settings &Settings,
                  std::function<std::string()> RereadSettings)
       : Reread(std::move(RereadSettings)),
+        LateProofAge(Settings.SettingsDeadline * 6 / 10),
         Host(proxy::makeHost(Settings.Identity)), TickTimer(Io), Signals(Io),
         Callers(Io, Settings.Callers, sink()), Targets(Io, sink()),
         Peers(
@@ -224,6 +224,8 @@
   }
 
   std::function<std::string()> Reread;
+  duration LateProofAge; ///< An answer with an older proof is logged.
+
   asio::io_context Io{1};
   proxy::host_pointer Host;
   std::deque<proxy::event> Events;
--- a/src/serve/store_gateway.cpp
+++ b/src/serve/store_gateway.cpp
@@ -143,8 +143,10 @@
     callWatchSource(*Source, std::move(Call), std::move(Done));
     return;
   }
+  const bool Probes = Need == proxy::proof_need::Overdue && Call.Demand &&
+                      Call.Demand->ProbesStore;
   const auto Access = proxy::chooseStoreAccess(AccessState, !RelayPeers.empty(),
-                                               Call.IsLongPoll, Need, Now);
+                                               Call.IsLongPoll, Probes, Now);
   if (Access == proxy::store_access::Relay)
     callThroughPeer(std::move(Call), std::move(Done));
   else if (Need == proxy::proof_need::Overdue)
@@ -162,17 +164,24 @@
   Links.Relay(Source, Call,
               [this, Source, Sent = sentWatch(Call),
                Done = std::move(Done)](relay_answer Answer) {
-                proxy::recordWatchSource(
-                    WatchSourceState, Source,
-                    watchSourceResultOf(Answer, isProofLate(Sent, Answer)),
-                    Links.Now());
+                // A source that had less than the usual time may be well.
+                if (Answer.PeerAnswered || !isCutShort(Sent))
+                  proxy::recordWatchSource(
+                      WatchSourceState, Source,
+                      watchSourceResultOf(Answer, isProofLate(Sent, Answer)),
+                      Links.Now());
                 Done(std::move(Answer.Answer));
               });
 }
 
 store_gateway::sent_watch
 store_gateway::sentWatch(const platform::http_call &Call) const {
-  return {Links.Now(), Call.Demand};
+  return {Links.Now(), Call.Timeout, Call.Demand};
+}
+
+bool store_gateway::isCutShort(const sent_watch &Sent) const {
+  return Sent.Timeout < PeerWatchAnswerTimeout &&
+         Links.Now() >= Sent.At + Sent.Timeout;
 }
 
 bool store_gateway::isProofLate(const sent_watch &Sent,
@@ -228,7 +237,7 @@
 
 void store_gateway::callThroughPeer(platform::http_call Call,
                                     platform::http_callback Done) {
-  if (Call.IsLongPoll)
+  if (Call.Demand)
     Call.Timeout = proxy::peerWatchTimeout(dueAt(Call), Links.Now(),
                                            PeerWatchAnswerTimeout);
 
--- a/src/serve/store_gateway.hpp
+++ b/src/serve/store_gateway.hpp
@@ -88,9 +88,13 @@
   /// A watch that a peer was asked to answer.
   struct sent_watch {
     instant At{};
+    duration Timeout{};
     std::optional<platform::proof_demand> Demand;
   };
   [[nodiscard]] sent_watch sentWatch(const platform::http_call &Call) const;
+  /// Whether the watch ended because its caller's proof became overdue, before
+  /// the peer had its usual time.
+  [[nodiscard]] bool isCutShort(const sent_watch &Sent) const;
   /// Whether the caller's proof is overdue even after an answer.
   [[nodiscard]] bool isProofLate(const sent_watch &Sent,
                                  const relay_answer &Answer) const;
--- a/tests/platform/watch_tests.cpp
+++ b/tests/platform/watch_tests.cpp
@@ -31,7 +31,7 @@
                       Calls.push_back({std::move(Call), std::move(Done)});
                     },
                     "op/",
-                    watch_timing{0ms, 1500ms, 2100ms},
+                    watch_timing{0ms, 1500ms, 600ms, 1500ms, 2100ms, true},
                     {[this](const std::vector<store_change> &Changes) {
                        Reported.insert(Reported.end(), Changes.begin(),
                                        Changes.end());
--- a/tests/proxy/parts_tests.cpp
+++ b/tests/proxy/parts_tests.cpp
@@ -102,21 +102,21 @@
 TEST_CASE(
     "A host uses relays when direct calls fail, and tries directly again") {
   store_access_state Path;
-  CHECK(chooseStoreAccess(Path, true, false, proof_need::Ample, Start) ==
+  CHECK(chooseStoreAccess(Path, true, false, false, Start) ==
         store_access::Direct);
   recordDirectCall(Path, call_result::NoAnswer, Start);
-  CHECK(chooseStoreAccess(Path, true, false, proof_need::Ample,
-                          Start + 100ms) == store_access::Relay);
-  CHECK(chooseStoreAccess(Path, false, false, proof_need::Ample,
-                          Start + 100ms) == store_access::Direct);
+  CHECK(chooseStoreAccess(Path, true, false, false, Start + 100ms) ==
+        store_access::Relay);
+  CHECK(chooseStoreAccess(Path, false, false, false, Start + 100ms) ==
+        store_access::Direct);
   // A call that waits for changes would not show for seconds that the store is
   // back.
-  CHECK(chooseStoreAccess(Path, true, true, proof_need::Ample, Start + 10s) ==
+  CHECK(chooseStoreAccess(Path, true, true, false, Start + 10s) ==
         store_access::Relay);
-  CHECK(chooseStoreAccess(Path, true, false, proof_need::Ample, Start + 10s) ==
+  CHECK(chooseStoreAccess(Path, true, false, false, Start + 10s) ==
         store_access::Direct);
   recordDirectCall(Path, call_result::Served, Start + 10s);
-  CHECK(chooseStoreAccess(Path, true, true, proof_need::Ample, Start + 10s) ==
+  CHECK(chooseStoreAccess(Path, true, true, false, Start + 10s) ==
         store_access::Direct);
 }
 
@@ -134,15 +134,15 @@
   // host then asked peers, silent ones too, for as long as it took.
   store_access_state Path;
   recordDirectCall(Path, call_result::NoAnswer, Start);
-  CHECK(chooseStoreAccess(Path, true, true, proof_need::Ample, Start + 100ms) ==
+  CHECK(chooseStoreAccess(Path, true, true, false, Start + 100ms) ==
         store_access::Relay);
-  CHECK(chooseStoreAccess(Path, true, true, proof_need::Overdue,
-                          Start + 100ms) == store_access::Direct);
+  CHECK(chooseStoreAccess(Path, true, true, true, Start + 100ms) ==
+        store_access::Direct);
   // Hundreds of hosts do so when the store is lost to all.
-  CHECK(chooseStoreAccess(Path, true, true, proof_need::Overdue,
-                          Start + 200ms) == store_access::Relay);
-  CHECK(chooseStoreAccess(Path, true, true, proof_need::Overdue,
-                          Start + 700ms) == store_access::Direct);
+  CHECK(chooseStoreAccess(Path, true, true, true, Start + 200ms) ==
+        store_access::Relay);
+  CHECK(chooseStoreAccess(Path, true, true, true, Start + 700ms) ==
+        store_access::Direct);
 }
 
 TEST_CASE("A host is isolated once neither store nor peers answer") {
@@ -164,8 +164,8 @@
   store_access_state Path;
   recordDirectCall(Path, call_result::Served, Start);
   recordDirectCall(Path, call_result::WatchEnded, Start + 100ms);
-  CHECK(chooseStoreAccess(Path, true, false, proof_need::Ample,
-                          Start + 100ms) == store_access::Direct);
+  CHECK(chooseStoreAccess(Path, true, false, false, Start + 100ms) ==
+        store_access::Direct);
   CHECK_FALSE(isIsolated(Path, Start + 10s));
 }
 
--- a/tests/serve/simulated_settings.cpp
+++ b/tests/serve/simulated_settings.cpp
@@ -20,6 +20,8 @@
 constexpr unsigned DataCentres = 3;
 constexpr unsigned HostsPerDataCentre = 6;
 constexpr unsigned FastHosts = 2; ///< Of each data centre.
+/// Of the calls of a host with a lossy link.
+constexpr double HeldUpShare = 0.6;
 constexpr double FastMbps = 200;
 constexpr double SlowMbps = 10;
 constexpr std::uint16_t FirstPort = 7000;
@@ -88,7 +90,7 @@
   Host.Running = true;
   Host.Incarnation += 1;
   Host.Version = 0;
-  Host.IsRenewing = false;
+
   proxy::host_identity Identity;
   Identity.Name = Host.Name;
   Identity.DataCentre = Host.DataCentre;
@@ -115,6 +117,8 @@
   Host.Store->setReceiptSink(
       [this, &Host](const platform::watch_receipt &Receipt,
                     std::uint64_t Version) {
+        if (Receipt.IsProven)
+          Host.ProvenAt = Queue.Now - Receipt.ProofAge;
         if (Version != 0 || Receipt.ProofAge > 2500ms)
           trace(Host.Name + " has " + std::to_string(Version) + " via " +
                 (Receipt.Via.empty() ? "store" : Receipt.Via) + " proof " +
@@ -281,6 +285,8 @@
     const simulated_store::answer_function &Done) {
   if (Queue.Now < Host.StoreCutUntil)
     return;
+  if (Queue.Now < Host.LossyUntil && draw() < HeldUpShare)
+    return;
   if (Queue.Now < Host.RefusedUntil) {
     if (Host.Refusal != refusal::Silence)
       post(Host, 2 * OneWay + StoreWork, [&Host, Done] {
@@ -434,18 +440,36 @@
   }
 }
 
+std::vector<simulated_host *> simulated_settings::drawHosts() {
+  if (draw() < 0.6)
+    return {&drawHost()};
+  std::vector<simulated_host *> Some;
+  for (auto &[Name, Host] : Hosts)
+    if (draw() < 0.3)
+      Some.push_back(&Host);
+  return Some;
+}
+
 void simulated_settings::disturb() {
   if (Queue.Now >= End - CalmTime)
     return;
   const double Kind = draw();
   simulated_host &Host = drawHost();
   const instant Until = Queue.Now + drawSpan(300ms, 5s);
-  if (Kind < 0.1) {
+  if (Kind < 0.08) {
     silenceConnections();
-  } else if (Kind < 0.35 && Host.Running) {
-    trace(Host.Name + " is suspended");
-    Host.SuspendedUntil = Until;
-    disturbed(Host, Until);
+  } else if (Kind < 0.25) {
+    for (simulated_host *Suspended : drawHosts()) {
+      trace(Suspended->Name + " is suspended");
+      Suspended->SuspendedUntil = Until;
+      disturbed(*Suspended, Until);
+    }
+  } else if (Kind < 0.38) {
+    for (simulated_host *Lossy : drawHosts()) {
+      trace(Lossy->Name + " has a lossy link");
+      Lossy->LossyUntil = Until;
+      disturbed(*Lossy, Until);
+    }
   } else if (Kind < 0.5 && Host.Running) {
     restartHost(Host, draw() < 0.5);
   } else if (Kind < 0.65 && Host.Running) {
@@ -473,27 +497,45 @@
   Queue.at(Queue.Now + drawSpan(200ms, 2500ms), [this] { disturb(); });
 }
 
+std::uint64_t simulated_settings::confirmedBefore(instant At) const {
+  std::uint64_t Newest = 0;
+  for (const version &Each : Confirmed)
+    if (Each.ConfirmedAt < At)
+      Newest = Each.Number;
+  return Newest;
+}
+
+void simulated_settings::violate(const simulated_host &Host,
+                                 const std::string &Text) {
+  const std::string Line =
+      Host.Name + " with version " + std::to_string(Host.Version) + ' ' + Text;
+  trace(Line);
+  Violations.push_back(std::to_string(toSeconds(Queue.Now - instant(1000s))) +
+                       ' ' + Line);
+}
+
 void simulated_settings::check() {
   const bool IsStoreStable = Queue.Now >= StoreStableSince + ContactPeriod;
   const duration Allowed =
       SettingsDeadline +
       (IsStoreStable ? duration::zero() : duration(UnstableStoreAllowance));
-  std::uint64_t Required = 0;
-  for (const version &Each : Confirmed)
-    if (Each.ConfirmedAt + Allowed < Queue.Now)
-      Required = Each.Number;
-  for (const auto &[Name, Host] : Hosts)
+  const std::uint64_t Required = confirmedBefore(Queue.Now - Allowed);
+  for (const auto &[Name, Host] : Hosts) {
     // A host that has no settings yet refuses all sessions as busy.
-    if (Host.Running && Host.Version != 0 &&
-        Host.UndisturbedSince != instant::max() &&
-        Queue.Now >= Host.UndisturbedSince + ContactPeriod &&
-        Host.Version < Required) {
-      trace(Name + " is outdated");
-      Violations.push_back(
-          Name + " has version " + std::to_string(Host.Version) + " and not " +
-          std::to_string(Required) + " at " +
-          std::to_string(toSeconds(Queue.Now - instant(1000s))));
-    }
+    if (!Host.Running || Host.Version == 0)
+      continue;
+    if (Host.Version < confirmedBefore(Host.ProvenAt))
+      violate(Host, "claims more than it knows");
+    const bool IsInTouch = Host.UndisturbedSince != instant::max() &&
+                           Queue.Now >= Host.UndisturbedSince + ContactPeriod;
+    if (IsInTouch && Host.Version < Required)
+      violate(Host, "lacks version " + std::to_string(Required));
+    else if (IsInTouch && Host.ProvenAt < Queue.Now - Allowed)
+      violate(Host,
+              "has no proof since " +
+                  std::to_string(toSeconds(Host.ProvenAt - instant(1000s))));
+  }
+
   if (Queue.Now < End && Violations.empty())
     Queue.at(Queue.Now + CheckInterval, [this] { check(); });
 }
--- a/tests/serve/simulated_settings.hpp
+++ b/tests/serve/simulated_settings.hpp
@@ -2,7 +2,8 @@
 /// watch sources and relays, on virtual time. Each host runs the product's
 /// watch, gateway and host list; the store, the links and the clock are
 /// simulated. Every host in touch is checked: it must act on each version
-/// within the deadline, and never go back.
+/// within the deadline, have a proof of that age, also while no version is
+/// written, and never go back. No host may claim to be more current than it is.
 #pragma once
 
 #include <platform/store_client.hpp>
@@ -116,11 +117,14 @@
   instant RefusedUntil{};  ///< The store turns the host away.
   refusal Refusal = refusal::TooMany;
   instant SlowUntil{};
+  instant LossyUntil{}; ///< Much of what it and the store send is held up.
+
   instant UndisturbedSince{};
   instant SendsAt{};    ///< When its link is free to send.
   instant ReceivesAt{}; ///< When its link is free to receive.
   std::uint64_t Version = 0;
-  bool IsRenewing = false;
+  instant ProvenAt{}; ///< It claims to have all versions confirmed before.
+
   std::vector<std::shared_ptr<simulated_store_link>> StoreLinks;
   std::map<endpoint, simulated_connection> PeerLinks;
   serve::relay_table Relays;
@@ -183,9 +187,15 @@
   void writeVersion(std::size_t Bytes);
   void scheduleVersions();
   void disturb();
+  /// One host, or about a third of them.
+  [[nodiscard]] std::vector<simulated_host *> drawHosts();
   void silenceConnections();
+
   void disturbed(simulated_host &Host, instant Until);
   void check();
+  /// The newest version that was confirmed before.
+  [[nodiscard]] std::uint64_t confirmedBefore(instant At) const;
+  void violate(const simulated_host &Host, const std::string &Text);
 
   std::mt19937 Random;
   std::vector<version> Confirmed;
