--- a/tests/serve/simulated_settings.hpp
+++ b/tests/serve/simulated_settings.hpp
@@ -78,7 +78,7 @@
   void endOverdueWatches();
 
 private:
-  void record(platform::store_change Change);
+  void record(const platform::store_change &Change);
   [[nodiscard]] std::optional<platform::http_answer>
   changesAfter(const std::string &Prefix, std::uint64_t After) const;
 };
--- a/tests/serve/simulated_settings_store.cpp
+++ b/tests/serve/simulated_settings_store.cpp
@@ -53,7 +53,7 @@
     record({{Key, {}, Revision + 1, 0}, true});
 }
 
-void simulated_store::record(platform::store_change Change) {
+void simulated_store::record(const platform::store_change &Change) {
   Revision += 1;
   History.push_back({Revision, Change});
   std::vector<waiting_watch> Waiting;
