--- a/src/serve/serve_settings.hpp
+++ b/src/serve/serve_settings.hpp
@@ -3,6 +3,7 @@
 
 #include <bronzespar/endpoint.hpp>
 #include <bronzespar/proxy/host.hpp>
+#include <bronzespar/proxy/watch_proof.hpp>
 
 #include <optional>
 #include <string>
@@ -19,7 +20,7 @@
   endpoint Store;
   /// A version of the operators' document is in force this long after its
   /// confirmation; the setting `settings_ms`.
-  duration SettingsDeadline = std::chrono::milliseconds(3000);
+  duration SettingsDeadline = proxy::DefaultSettingsDeadline;
   endpoint PromotionEndpoint; ///< Takes orders to promote; the setting `duty`.
 };
 
--- a/src/serve/session_daemon.cpp
+++ b/src/serve/session_daemon.cpp
@@ -77,7 +77,7 @@
           return Store.serveWatch(Call, std::move(Done));
         });
     Store.setReceiptSink(
-        [this](const platform::watch_receipt &Receipt, std::uint64_t Version) {
+        [this](const proxy::watch_receipt &Receipt, std::uint64_t Version) {
           recordReceipt(Receipt, Version);
         });
   }
@@ -86,7 +86,7 @@
     return [this](proxy::event Event) { post(std::move(Event)); };
   }
 
-  void recordReceipt(const platform::watch_receipt &Receipt,
+  void recordReceipt(const proxy::watch_receipt &Receipt,
                      std::uint64_t Version) {
     if (Version == 0) {
       if (Receipt.IsProven)
--- a/src/serve/store_gateway.hpp
+++ b/src/serve/store_gateway.hpp
@@ -89,7 +89,7 @@
   struct sent_watch {
     instant At{};
     duration Timeout{};
-    std::optional<platform::proof_demand> Demand;
+    std::optional<proxy::proof_demand> Demand;
   };
   [[nodiscard]] sent_watch sentWatch(const platform::http_call &Call) const;
   /// Whether the watch ended because its caller's proof became overdue, before
--- a/tests/platform/watch_tests.cpp
+++ b/tests/platform/watch_tests.cpp
@@ -25,18 +25,18 @@
   std::vector<pending_call> Calls;
   std::vector<store_change> Reported;
   instant Now = Start;
-  store_watch Watch{makeScheduler(Io),
-                    [this] { return Now; },
-                    [this](http_call Call, http_callback Done) {
-                      Calls.push_back({std::move(Call), std::move(Done)});
-                    },
-                    "op/",
-                    watch_timing{0ms, 1500ms, 600ms, 1500ms, 2100ms, true},
-                    {[this](const std::vector<store_change> &Changes) {
-                       Reported.insert(Reported.end(), Changes.begin(),
-                                       Changes.end());
-                     },
-                     [](bool) {}}};
+  store_watch Watch{
+      makeScheduler(Io),
+      [this] { return Now; },
+      [this](http_call Call, http_callback Done) {
+        Calls.push_back({std::move(Call), std::move(Done)});
+      },
+      "op/",
+      proxy::watch_timing{0ms, 1500ms, 600ms, 1500ms, 2100ms, true},
+      {[this](const std::vector<store_change> &Changes) {
+         Reported.insert(Reported.end(), Changes.begin(), Changes.end());
+       },
+       [](bool) {}}};
 
   /// Answers the first read, so that the watch waits from revision 5.
   watch_fixture() {
--- a/tests/serve/simulated_settings.cpp
+++ b/tests/serve/simulated_settings.cpp
@@ -114,16 +114,15 @@
       [](const std::string &, const std::string &) {},
       [](const proxy::effects::order_promotion &) { return true; },
       [this] { return Queue.Now; });
-  Host.Store->setReceiptSink(
-      [this, &Host](const platform::watch_receipt &Receipt,
-                    std::uint64_t Version) {
-        if (Receipt.IsProven)
-          Host.ProvenAt = Queue.Now - Receipt.ProofAge;
-        if (Version != 0 || Receipt.ProofAge > 2500ms)
-          trace(Host.Name + " has " + std::to_string(Version) + " via " +
-                (Receipt.Via.empty() ? "store" : Receipt.Via) + " proof " +
-                std::to_string(toSeconds(Receipt.ProofAge)));
-      });
+  Host.Store->setReceiptSink([this, &Host](const proxy::watch_receipt &Receipt,
+                                           std::uint64_t Version) {
+    if (Receipt.IsProven)
+      Host.ProvenAt = Queue.Now - Receipt.ProofAge;
+    if (Version != 0 || Receipt.ProofAge > 2500ms)
+      trace(Host.Name + " has " + std::to_string(Version) + " via " +
+            (Receipt.Via.empty() ? "store" : Receipt.Via) + " proof " +
+            std::to_string(toSeconds(Receipt.ProofAge)));
+  });
   Host.Gateway->setWatchServer(
       [&Host](const platform::http_call &Call, platform::http_callback Done) {
         return Host.Store->serveWatch(Call, std::move(Done));
