Take the default for settings_ms where the platform does not fill it

What operators would have seen: hosts that do not start where the field is not known to the platform, as the template then leaves nothing or its braces.

Test: both forms in settings_tests, which fail before.

--- a/src/serve/serve_settings.cpp
+++ b/src/serve/serve_settings.cpp
@@ -33,6 +33,13 @@
 /// Calls to the store take up to a few hundred milliseconds.
 constexpr duration MinSettingsDeadline = std::chrono::milliseconds(1000);
 
+/// Whether an optional setting has a value. A platform that does not know the
+/// field of the template leaves nothing, or the braces.
+bool isFilled(const ini_entry *Entry) {
+  return Entry != nullptr && !Entry->Value.empty() &&
+         !Entry->Value.starts_with("{{");
+}
+
 const ini_entry &entryOf(const std::vector<ini_section> &Sections,
                          std::string_view Path, std::string_view Name) {
   if (const ini_entry *Entry = findIn(Sections, Path, Name))
@@ -90,7 +97,7 @@
       secondsOf(numberOf(Sections, "bounds", "grace_period_s"));
   Settings.Identity.DrainPeriod =
       millisecondsOf(numberOf(Sections, "bounds", "drain_ms"));
-  if (findIn(Sections, "bounds", "settings_ms") != nullptr)
+  if (isFilled(findIn(Sections, "bounds", "settings_ms")))
     Settings.SettingsDeadline =
         millisecondsOf(numberOf(Sections, "bounds", "settings_ms"));
   if (Settings.SettingsDeadline < MinSettingsDeadline)
--- a/tests/serve/settings_tests.cpp
+++ b/tests/serve/settings_tests.cpp
@@ -51,6 +51,12 @@
       parseServeSettings(ValidSettings + "settings_ms = 5000\n", Fault);
   REQUIRE(Timed);
   CHECK(Timed->SettingsDeadline == 5s);
+  for (const std::string Unfilled : {"", "{{Bounds.ConfigDeadlineMs}}"}) {
+    const auto Default = parseServeSettings(
+        ValidSettings + "settings_ms = " + Unfilled + "\n", Fault);
+    REQUIRE(Default);
+    CHECK(Default->SettingsDeadline == 3s);
+  }
   CHECK_FALSE(parseServeSettings(ValidSettings + "settings_ms = 20\n", Fault));
   CHECK(Fault == "line 15: settings_ms is not at least 1000 ms");
   std::string Missing = ValidSettings;
