--- a/tests/serve/settings_tests.cpp
+++ b/tests/serve/settings_tests.cpp
@@ -51,9 +51,9 @@
       parseServeSettings(ValidSettings + "settings_ms = 5000\n", Fault);
   REQUIRE(Timed);
   CHECK(Timed->SettingsDeadline == 5s);
-  for (const std::string Unfilled : {"", "{{Bounds.ConfigDeadlineMs}}"}) {
-    const auto Default = parseServeSettings(
-        ValidSettings + "settings_ms = " + Unfilled + "\n", Fault);
+  for (const std::string Unfilled :
+       {"settings_ms = \n", "settings_ms = {{Bounds.ConfigDeadlineMs}}\n"}) {
+    const auto Default = parseServeSettings(ValidSettings + Unfilled, Fault);
     REQUIRE(Default);
     CHECK(Default->SettingsDeadline == 3s);
   }
