--- a/src/serve/store_gateway.cpp
+++ b/src/serve/store_gateway.cpp
@@ -240,7 +240,6 @@
   if (Call.Demand)
     Call.Timeout = proxy::peerWatchTimeout(dueAt(Call), Links.Now(),
                                            PeerWatchAnswerTimeout);
-
   const endpoint &Peer = RelayPeers[AccessState.RelayIndex % RelayPeers.size()];
   Links.Relay(Peer, Call,
               [this, Sent = sentWatch(Call),
--- a/tests/proxy/witness_tests.cpp
+++ b/tests/proxy/witness_tests.cpp
@@ -158,14 +158,25 @@
         Sources.front().Sources.back().Port % 3);
 }
 
-TEST_CASE("A watch source that comes back at another address is asked there") {
-  host_driver Driver;
+namespace {
+
+/// Watch sources that a host in a large fleet publishes when another one
+/// leaves.
+std::vector<effects::set_watch_sources> publishedSources(host_driver &Driver) {
   Driver.becomeReady();
   listFleet(Driver);
   Driver.Effects.clear();
   Driver.removeRecord("hosts/peer-59");
   auto Published = Driver.takeEffects<effects::set_watch_sources>();
   REQUIRE(Published.size() == 1);
+  return Published;
+}
+
+} // namespace
+
+TEST_CASE("A watch source that comes back at another address is asked there") {
+  host_driver Driver;
+  auto Published = publishedSources(Driver);
   REQUIRE(Published.front().Sources.size() == 2);
   const unsigned Port = Published.front().Sources.front().Port;
   const std::string Name = "peer-" + std::to_string(Port - 7000);
@@ -181,12 +192,7 @@
 
 TEST_CASE("A watch source that leaves or gets a slower link is replaced") {
   host_driver Driver;
-  Driver.becomeReady();
-  listFleet(Driver);
-  Driver.Effects.clear();
-  Driver.removeRecord("hosts/peer-59");
-  auto Published = Driver.takeEffects<effects::set_watch_sources>();
-  REQUIRE(Published.size() == 1);
+  auto Published = publishedSources(Driver);
   const endpoint Source = Published.front().Sources.front();
   const std::string Name = "peer-" + std::to_string(Source.Port - 7000);
   host_record Record = Driver.Host->Hosts.at(Name).Record;
