Add the events of a restored store and of evacuations

Change: two events with a handler each, the time for which a target is cold and what a cold one takes. Nothing raises the events yet, so that no behaviour changes.

--- a/include/bronzespar/proxy/interface.hpp
+++ b/include/bronzespar/proxy/interface.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -177,6 +178,16 @@
 struct isolation_changed {
   bool Isolated = false;
 };
+/// \brief The store came back from an older copy, so that changes which it
+/// confirmed may be gone, and leases with them.
+/// \remarks Comes before everything that the store's answers in this era hold.
+struct store_restored {
+  std::uint64_t Era = 0; ///< Rises with each restore.
+};
+/// \brief The data centres that operators want evacuated now.
+struct evacuations_changed {
+  std::set<std::string> DataCentres;
+};
 struct record_changed {
   store_record Record;
 };
@@ -277,7 +288,8 @@
     events::target_ready, events::target_refused, events::target_answered,
     events::target_lost, events::target_probed, events::settings_changed,
     events::targets_listed, events::store_reachability_changed,
-    events::isolation_changed, events::record_changed, events::record_removed,
+    events::isolation_changed, events::store_restored,
+    events::evacuations_changed, events::record_changed, events::record_removed,
     events::records_read, events::change_ended, events::lease_answered,
     events::promotion_sent, events::promotion_answered,
     events::forward_requested, events::forward_ended, events::forward_pending,
--- a/include/bronzespar/proxy/settings.hpp
+++ b/include/bronzespar/proxy/settings.hpp
@@ -43,6 +43,9 @@
   unsigned MaxConnections = 1; ///< To each target, from all hosts together.
   /// Replicas that have received a commit before the primary acknowledges it.
   unsigned ConfirmingReplicas = 0;
+  /// Statements that a cold target takes in a second, from all hosts together;
+  /// 0: no limit.
+  double ColdPerSecond = 0;
 };
 
 /// \brief One version of the operators' settings.
@@ -65,6 +68,7 @@
   unsigned Slots = 1;    ///< Number of statements that it runs at once.
   bool Draining = false; ///< It takes no new work.
   bool ClaimsPrimary = false;
+  duration ColdFor{};         ///< It stays slow for this long after its start.
   std::int64_t StartedAt = 0; ///< Differs after a restart under the same id.
 };
 
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -77,6 +77,10 @@
   void operator()(events::isolation_changed &Event) {
     isolationChanged(Step, Event.Isolated);
   }
+  void operator()(events::store_restored &Event) { storeRestored(Step, Event); }
+  void operator()(events::evacuations_changed &Event) {
+    evacuationsChanged(Step, std::move(Event));
+  }
   void operator()(events::record_changed &Event) {
     recordChanged(Step, Event.Record);
   }
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -161,6 +161,13 @@
 void adoptTargets(step_context &Step, std::vector<target_entry> &&Targets);
 void dropAbsentTargets(step_context &Step);
 
+// A store that came back from an older copy (restored_store.cpp).
+void storeRestored(step_context &Step, const events::store_restored &Event);
+
+// Evacuation of data centres (evacuation.cpp).
+void evacuationsChanged(step_context &Step,
+                        events::evacuations_changed &&Event);
+
 // The list of hosts (host_list.cpp).
 /// \brief Hosts that are not stopping, by data centre.
 [[nodiscard]] std::map<std::string, std::vector<host_id>>
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -418,6 +418,9 @@
   coordinator_state Coordinator;
   instant StartedAt{}; ///< Time of this process's first step.
   bool StoreReached = false;
+  /// Era of the store that this host knows; see restored_store.cpp.
+  std::uint64_t StoreEra = 0;
+  std::set<std::string> EvacuatedDataCentres; ///< See evacuation.cpp.
   /// Absent targets are kept until then, as expired entries may come back.
   instant KeepAbsentUntil{};
   bool Ready = false;
