Replace a silent connection to a host that answers a new one

Cause: when connections between hosts go silent for good, a statement waited 220 ms for its owner and then for its stand-ins, whose connections were silent as well; the silent connection was closed after 700 ms and the owner avoided for 1.5 s more. Requests for tokens and votes on a silent connection were never noticed, so that accounts were refused for rate.

Ruled out: shorter time limits (a slow host is taken for a lost one) and TCP keep-alive (whole seconds, and tells nothing of the process).

Change: a connection on which a request waits for 120 ms is checked over a new one. If the host answers there and nothing arrives on the old one, the new one takes its place at once; the old one is read for 300 ms more, for late answers, and only what was sent on it is lost.

--- a/include/bronzespar/proxy/interface.hpp
+++ b/include/bronzespar/proxy/interface.hpp
@@ -250,6 +250,15 @@
 /// \brief A connection with another host was lost; its forwarded sessions end.
 struct peer_lost {
   std::string Link; ///< "address:port" if this host had dialled.
+  /// If set, the connection was replaced: only forwarded statements with
+  /// tickets up to this one were sent on it.
+  std::optional<connection_number> LastTicket = std::nullopt;
+};
+/// \brief A connection to a host was silent and the host answered on another
+/// one, which replaces it. \remarks The silent connection ends a little later.
+struct link_replaced {
+  std::string Link;                 ///< "address:port".
+  connection_number LastTicket = 0; ///< Highest one sent on the silent one.
 };
 
 struct vote_requested {
@@ -293,10 +302,10 @@
     events::records_read, events::change_ended, events::lease_answered,
     events::promotion_sent, events::promotion_answered,
     events::forward_requested, events::forward_ended, events::forward_pending,
-    events::peer_lost, events::vote_requested, events::vote_received,
-    events::position_requested, events::position_received,
-    events::tokens_requested, events::tokens_granted, events::stop_requested,
-    events::tick>;
+    events::peer_lost, events::link_replaced, events::vote_requested,
+    events::vote_received, events::position_requested,
+    events::position_received, events::tokens_requested, events::tokens_granted,
+    events::stop_requested, events::tick>;
 
 namespace effects {
 
@@ -383,6 +392,11 @@
   endpoint Owner;
   connection_number Ticket = 0;
 };
+/// \brief Check over a new connection whether a host still answers, as the
+/// connection to it is silent.
+struct check_peer {
+  endpoint Peer;
+};
 /// \brief Close the connection to a host that does not answer; peer_lost
 /// follows.
 struct drop_peer {
@@ -465,10 +479,10 @@
     effects::close_target, effects::probe_target, effects::change_records,
     effects::read_records, effects::grant_lease, effects::renew_lease,
     effects::revoke_lease, effects::order_promotion, effects::forward,
-    effects::end_forward, effects::drop_peer, effects::answer_forward,
-    effects::report_pending, effects::request_vote, effects::send_vote,
-    effects::request_position, effects::send_position, effects::request_tokens,
-    effects::grant_tokens, effects::set_store_relays,
+    effects::end_forward, effects::check_peer, effects::drop_peer,
+    effects::answer_forward, effects::report_pending, effects::request_vote,
+    effects::send_vote, effects::request_position, effects::send_position,
+    effects::request_tokens, effects::grant_tokens, effects::set_store_relays,
     effects::set_watch_sources, effects::set_ready, effects::write_log,
     effects::record_outcome, effects::stop_process>;
 using effect_list = std::vector<effect>;
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -101,7 +101,8 @@
   void operator()(events::forward_pending &Event) {
     forwardPending(Step, Event.Link);
   }
-  void operator()(events::peer_lost &Event) { peerLost(Step, Event.Link); }
+  void operator()(events::peer_lost &Event) { peerLost(Step, Event); }
+  void operator()(events::link_replaced &Event) { linkReplaced(Step, Event); }
   void operator()(events::vote_requested &Event) { voteRequested(Step, Event); }
   void operator()(events::vote_received &Event) {
     voteReceived(Step, Event.Vote);
--- a/src/proxy/owners.cpp
+++ b/src/proxy/owners.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// The connection to an owner that sends nothing for this long while a
+/// statement waits there is checked: one of its reports is overdue.
+constexpr duration OwnerCheckTimeout = std::chrono::milliseconds(120);
 /// An owner that sends nothing for this long while a statement waits there is
 /// unresponsive. It gets no statements for the back-off time, in which a
 /// stand-in runs them.
@@ -108,6 +111,14 @@
   return Now - Since;
 }
 
+/// Whether a connection's statements were sent on a connection to its owner
+/// that was replaced. They are lost when that ends.
+bool isOnReplacedLink(const host &State, const target_connection &Connection) {
+  const auto Replaced = State.ReplacedLinks.find(*Connection.Owner);
+  return Replaced != State.ReplacedLinks.end() &&
+         Connection.Number <= Replaced->second;
+}
+
 } // namespace
 
 void forwardRequest(step_context &Step, target_view &Target,
@@ -221,30 +232,45 @@
     closeSession(Step, session_number{Session.Number});
 }
 
-void peerLost(step_context &Step, const std::string &Link) {
-  Step.State.LinksAnsweredAt.erase(Link);
+void peerLost(step_context &Step, const events::peer_lost &Event) {
+  Step.State.LinksAnsweredAt.erase(Event.Link);
   std::vector<forward_origin> Ended;
   for (const auto &[Origin, Session] : Step.State.ForwardSessions)
-    if (Origin.Link == Link)
+    if (Origin.Link == Event.Link)
       Ended.push_back(Origin);
   for (const forward_origin &Origin : Ended)
     forwardEnded(Step, Origin);
   std::vector<connection_number> Lost;
-  for (const auto &[Number, Connection] : Step.State.Connections)
-    if (Connection.Owner && toText(*Connection.Owner) == Link) {
+  for (const auto &[Number, Connection] : Step.State.Connections) {
+    if (!Connection.Owner || toText(*Connection.Owner) != Event.Link)
+      continue;
+    if (!Event.LastTicket)
       Step.State.UnresponsiveOwners[*Connection.Owner] =
           Step.Now + UnresponsiveOwnerBackOff;
+    if (!Event.LastTicket || Number <= *Event.LastTicket)
       Lost.push_back(Number);
-    }
+  }
   for (const connection_number Number : Lost)
     targetLost(Step, Number);
 }
 
+void linkReplaced(step_context &Step, const events::link_replaced &Event) {
+  const auto Owner = parseEndpoint(Event.Link);
+  if (!Owner)
+    return;
+  Step.State.ReplacedLinks[*Owner] = Event.LastTicket;
+  Step.State.UnresponsiveOwners.erase(*Owner);
+  logLine(Step, "link.replaced", {{"peer", Event.Link}});
+}
+
 void detectUnresponsiveOwner(step_context &Step,
                              const target_connection &Connection) {
-  if (!Connection.Owner || Connection.Phase != connection_phase::Running)
+  if (!Connection.Owner || Connection.Phase != connection_phase::Running ||
+      isOnReplacedLink(Step.State, Connection))
     return;
   const duration Silence = silenceOfOwner(Step.State, Connection, Step.Now);
+  if (Silence >= OwnerCheckTimeout)
+    Step.Out.push_back(effects::check_peer{*Connection.Owner});
   if (Silence < OwnerAnswerTimeout)
     return;
   instant &UnresponsiveUntil = Step.State.UnresponsiveOwners[*Connection.Owner];
@@ -262,6 +288,7 @@
   std::set<endpoint> Unresponsive;
   for (const auto &[Number, Connection] : Step.State.Connections)
     if (Connection.Owner && Connection.Phase == connection_phase::Running &&
+        !isOnReplacedLink(Step.State, Connection) &&
         silenceOfOwner(Step.State, Connection, Step.Now) >
             OwnerDisconnectTimeout)
       Unresponsive.insert(*Connection.Owner);
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -118,8 +118,11 @@
 void reportPendingForwards(step_context &Step);
 /// \brief Closes a forwarded session that has no open transaction.
 void closeIdleForward(step_context &Step, caller_session &Session);
-void peerLost(step_context &Step, const std::string &Link);
-/// \brief Stops forwarding to an owner that does not answer in time.
+void peerLost(step_context &Step, const events::peer_lost &Event);
+/// \brief Takes note that only the connection to an owner was lost.
+void linkReplaced(step_context &Step, const events::link_replaced &Event);
+/// \brief Has the connection to an owner checked that is silent for a while,
+/// and stops forwarding to an owner that does not answer in time.
 void detectUnresponsiveOwner(step_context &Step,
                              const target_connection &Connection);
 /// \brief Closes connections to owners that stay unresponsive for longer.
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -403,6 +403,9 @@
   /// Owners that did not answer in time, and until when they are not used.
   std::map<endpoint, instant> UnresponsiveOwners;
   std::map<endpoint, instant> OwnersAnsweredAt;
+  /// Highest ticket that was sent to an owner before its connection was
+  /// replaced.
+  std::map<endpoint, connection_number> ReplacedLinks;
   /// When this host, as owner, last sent something on a link.
   std::map<std::string, instant> LinksAnsweredAt;
   /// Increases when a host joins, leaves, stops, or changes its address or
--- a/src/serve/frame_socket.hpp
+++ b/src/serve/frame_socket.hpp
@@ -29,6 +29,7 @@
   void send(std::string_view Payload);
   /// \brief Closes the connection; no hook is called afterwards.
   void close();
+  [[nodiscard]] bool isClosed() const noexcept { return Closed; }
   /// \brief Bytes that have arrived, also of a frame that is not complete.
   [[nodiscard]] std::uint64_t receivedBytes() const noexcept {
     return ReceivedBytes;
--- a/src/serve/peer_links.cpp
+++ b/src/serve/peer_links.cpp
@@ -4,6 +4,7 @@
 #include "frame_socket.hpp"
 #include "peer_codec.hpp"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -13,6 +14,14 @@
 
 namespace {
 
+/// An answer that is only late arrives on a replaced connection within this
+/// time; a lost segment is sent again meanwhile.
+constexpr duration RetiredLinkPeriod = std::chrono::milliseconds(300);
+/// One on which answers do arrive stays for as long as a transaction may rest.
+constexpr duration MaxRetiredLinkPeriod = std::chrono::seconds(3);
+/// Ends the names of connections over which others are checked.
+constexpr char CheckMark = '?';
+
 relay_answer decodeRelayAnswer(const std::string &Peer,
                                const wire::RelayAnswer &Message) {
   platform::http_answer Answer{Message.status(), textOf(Message.body())};
@@ -22,10 +31,22 @@
   return {std::move(Answer), true, Message.turned_away()};
 }
 
+std::string encodeAlive(std::uint64_t Number) {
+  return encodeFrame(wire::SessionBody_LinkAlive,
+                     [&](flatbuffers::FlatBufferBuilder &Builder) {
+                       return wire::CreateLinkAlive(Builder, Number);
+                     });
+}
+
 } // namespace
 
 struct peer_links::frame_socket : serve::frame_socket {
   using serve::frame_socket::frame_socket;
+
+  std::string Name;             ///< Key in Sockets or Checks.
+  endpoint Where;               ///< Set if this host dialled.
+  proxy::link_watch Watch;      ///< Of a connection that this host dialled.
+  std::uint64_t LastTicket = 0; ///< Highest one that was sent on it.
 };
 
 peer_links::peer_links(boost::asio::io_context &Context, const endpoint &Where,
@@ -40,36 +61,59 @@
 void peer_links::start() { accept(); }
 
 void peer_links::accept() {
-  Acceptor.async_accept([this](boost::system::error_code Failed,
-                               tcp::socket Socket) {
-    if (!Acceptor.is_open())
-      return;
-    if (!Failed) {
-      const std::string Name = '#' + std::to_string(++LastNumber);
-      auto Link = std::make_shared<frame_socket>(
-          std::move(Socket),
-          [this, Name](const std::string &Frame) { frameArrived(Name, Frame); },
-          [this, Name] { connectionEnded(Name); });
-      Sockets[Name] = Link;
-      Link->start();
-    }
-    accept();
-  });
+  Acceptor.async_accept(
+      [this](boost::system::error_code Failed, tcp::socket Socket) {
+        if (!Acceptor.is_open())
+          return;
+        if (!Failed) {
+          const std::string Name = '#' + std::to_string(++LastNumber);
+          Sockets[Name] = makeSocket(std::move(Socket), Name);
+          Sockets[Name]->start();
+        }
+        accept();
+      });
+}
+
+std::shared_ptr<peer_links::frame_socket>
+peer_links::makeSocket(tcp::socket Socket, std::string Name) {
+  // The hooks are called only while the socket exists, and its name may change.
+  const auto Self = std::make_shared<frame_socket *>(nullptr);
+  auto Link = std::make_shared<frame_socket>(
+      std::move(Socket),
+      [this, Self](const std::string &Frame) {
+        frameArrived(std::string((*Self)->Name), Frame);
+      },
+      [this, Self] { connectionEnded(std::string((*Self)->Name)); });
+  *Self = Link.get();
+  Link->Name = std::move(Name);
+  return Link;
 }
 
 peer_links::frame_socket &peer_links::findOrDial(const endpoint &Where) {
   const std::string Name = toText(Where);
   std::shared_ptr<frame_socket> &Link = Sockets[Name];
   if (!Link) {
-    Link = std::make_shared<frame_socket>(
-        tcp::socket(Io),
-        [this, Name](const std::string &Frame) { frameArrived(Name, Frame); },
-        [this, Name] { connectionEnded(Name); });
+    Link = makeSocket(tcp::socket(Io), Name);
+    Link->Where = Where;
     Link->connect(Where);
   }
   return *Link;
 }
 
+peer_links::frame_socket &peer_links::linkForRequest(const endpoint &Where) {
+  frame_socket &Link = findOrDial(Where);
+  proxy::noteRequest(Link.Watch, Link.receivedBytes(), bootNow());
+  return Link;
+}
+
+peer_links::frame_socket &peer_links::linkOf(const endpoint &Owner,
+                                             std::uint64_t Ticket) {
+  const auto Old = Retired.find(toText(Owner));
+  if (Old != Retired.end() && Ticket <= Old->second.Socket->LastTicket)
+    return *Old->second.Socket;
+  return findOrDial(Owner);
+}
+
 void peer_links::frameArrived(const std::string &Name,
                               const std::string &Frame) {
   const auto *Bytes = reinterpret_cast<const std::uint8_t *>(Frame.data());
@@ -118,6 +162,11 @@
                     Call->waits()});
   } else if (const auto *Answer = Message->body_as_RelayAnswer()) {
     finishRelay(Relays, Answer->number(), decodeRelayAnswer(Name, *Answer));
+  } else if (const auto *Check = Message->body_as_LinkCheck()) {
+    if (const auto Link = Sockets.find(Name); Link != Sockets.end())
+      Link->second->send(encodeAlive(Check->number()));
+  } else if (const auto *Alive = Message->body_as_LinkAlive()) {
+    checkAnswered(Name, Alive->number());
   }
 }
 
@@ -161,11 +210,124 @@
 }
 
 void peer_links::connectionEnded(const std::string &Name) {
-  Sockets.erase(Name);
+  if (Name.ends_with(CheckMark)) {
+    Checks.erase(Name.substr(0, Name.size() - 1));
+    return;
+  }
+  const auto Old = Retired.find(Name);
+  const auto Current = Sockets.find(Name);
+  const bool IsRetired = Old != Retired.end() && Old->second.Socket->isClosed();
+  if (IsRetired) {
+    const std::uint64_t LastTicket = Old->second.Socket->LastTicket;
+    Retired.erase(Old);
+    Events(proxy::events::peer_lost{Name, LastTicket});
+  }
+  if (Current == Sockets.end() || !Current->second->isClosed())
+    return;
+  Sockets.erase(Current);
   failRelaysOf(Relays, Name);
   Events(proxy::events::peer_lost{Name});
 }
 
+void peer_links::checkLink(const std::string &Name, const endpoint &Where) {
+  const auto Found = Sockets.find(Name);
+  if (Found == Sockets.end())
+    return;
+  frame_socket &Silent = *Found->second;
+  const std::uint64_t Number = ++LastNumber;
+  proxy::beginCheck(Silent.Watch, Silent.receivedBytes(), Number, bootNow());
+  auto Check = makeSocket(tcp::socket(Io), Name + CheckMark);
+  Check->Where = Where;
+  Check->connect(Where);
+  Check->send(encodeFrame(wire::SessionBody_LinkCheck,
+                          [&](flatbuffers::FlatBufferBuilder &Builder) {
+                            return wire::CreateLinkCheck(Builder, Number);
+                          }));
+  Checks[Name] = std::move(Check);
+}
+
+void peer_links::checkAnswered(const std::string &Name, std::uint64_t Number) {
+  if (!Name.ends_with(CheckMark))
+    return;
+  const std::string Checked = Name.substr(0, Name.size() - 1);
+  const auto Found = Sockets.find(Checked);
+  const bool IsLost =
+      Found != Sockets.end() &&
+      proxy::isShownLost(Found->second->Watch, Found->second->receivedBytes(),
+                         Number);
+  if (IsLost)
+    replaceLink(Checked);
+  else
+    closeCheck(Checked);
+}
+
+void peer_links::closeCheck(const std::string &Name) {
+  const auto Check = Checks.find(Name);
+  if (Check == Checks.end())
+    return;
+  Check->second->close();
+  Checks.erase(Check);
+}
+
+void peer_links::replaceLink(const std::string &Name) {
+  auto Replacement = Checks.extract(Name);
+  std::shared_ptr<frame_socket> Silent =
+      std::exchange(Sockets.at(Name), std::move(Replacement.mapped()));
+  Sockets.at(Name)->Name = Name;
+  const std::uint64_t LastTicket = Silent->LastTicket;
+  closeRetired(Name);
+  const std::uint64_t Received = Silent->receivedBytes();
+  Retired[Name] = {std::move(Silent), Received, bootNow() + RetiredLinkPeriod};
+  // Calls that were relayed over the silent one get no answer.
+  failRelaysOf(Relays, Name);
+  Events(proxy::events::link_replaced{Name, LastTicket});
+}
+
+void peer_links::closeRetired(const std::string &Name) {
+  const auto Old = Retired.find(Name);
+  if (Old == Retired.end())
+    return;
+  Old->second.Socket->close();
+  connectionEnded(Name);
+}
+
+void peer_links::superviseChecks(instant Now) {
+  std::vector<std::pair<std::string, endpoint>> Silent;
+  for (const auto &[Name, Link] : Sockets) {
+    if (proxy::isCheckOverdue(Link->Watch, Now)) {
+      Link->Watch.CheckNumber = 0;
+      closeCheck(Name);
+    }
+    if (proxy::needsCheck(Link->Watch, Link->receivedBytes(), Now))
+      Silent.emplace_back(Name, Link->Where);
+  }
+  for (const auto &[Name, Where] : Silent)
+    checkLink(Name, Where);
+}
+
+void peer_links::superviseRetired(instant Now) {
+  std::vector<std::string> Ended;
+  for (auto &[Name, Old] : Retired) {
+    const std::uint64_t Received = Old.Socket->receivedBytes();
+    if (Now < Old.CloseAt)
+      continue;
+    if (Received != Old.ReceivedBytes && !Old.IsProlonged) {
+      Old.IsProlonged = true;
+      Old.CloseAt = Now + MaxRetiredLinkPeriod;
+      continue;
+    }
+    Ended.push_back(Name);
+  }
+  for (const std::string &Name : Ended)
+    closeRetired(Name);
+}
+
+void peer_links::supervise(instant Now) {
+  superviseChecks(Now);
+  superviseRetired(Now);
+  expireRelays(Now);
+}
+
 void peer_links::expireRelays(instant Now) {
   const auto Received = [this](const std::string &Name) {
     const auto Link = Sockets.find(Name);
@@ -196,7 +358,7 @@
 }
 
 void peer_links::carryOut(const proxy::effects::request_vote &Effect) {
-  findOrDial(Effect.Elector).send(encodeVoteRequest(Effect.Request));
+  linkForRequest(Effect.Elector).send(encodeVoteRequest(Effect.Request));
 }
 
 void peer_links::carryOut(const proxy::effects::send_vote &Effect) {
@@ -223,17 +385,19 @@
 }
 
 void peer_links::carryOut(const proxy::effects::forward &Effect) {
-  findOrDial(Effect.Owner).send(encodeForward(Effect));
+  frame_socket &Link = linkOf(Effect.Owner, Effect.Ticket);
+  Link.LastTicket = std::max(Link.LastTicket, Effect.Ticket);
+  Link.send(encodeForward(Effect));
 }
 
 void peer_links::carryOut(const proxy::effects::end_forward &Effect) {
-  const auto Found = Sockets.find(toText(Effect.Owner));
-  if (Found != Sockets.end())
-    Found->second->send(
-        encodeFrame(wire::SessionBody_ForwardEnd,
-                    [&](flatbuffers::FlatBufferBuilder &Builder) {
-                      return wire::CreateForwardEnd(Builder, Effect.Ticket);
-                    }));
+  if (Sockets.contains(toText(Effect.Owner)))
+    linkOf(Effect.Owner, Effect.Ticket)
+        .send(encodeFrame(wire::SessionBody_ForwardEnd,
+                          [&](flatbuffers::FlatBufferBuilder &Builder) {
+                            return wire::CreateForwardEnd(Builder,
+                                                          Effect.Ticket);
+                          }));
 }
 
 void peer_links::carryOut(const proxy::effects::answer_forward &Effect) {
@@ -260,12 +424,21 @@
   connectionEnded(Name);
 }
 
+void peer_links::carryOut(const proxy::effects::check_peer &Effect) {
+  const auto Found = Sockets.find(toText(Effect.Peer));
+  if (Found == Sockets.end())
+    return;
+  proxy::link_watch &Watch = Found->second->Watch;
+  if (proxy::mayCheck(Watch, bootNow()))
+    checkLink(Found->first, Effect.Peer);
+}
+
 void peer_links::carryOut(const proxy::effects::drop_peer &Effect) {
   closeLink(toText(Effect.Peer));
 }
 
 void peer_links::carryOut(const proxy::effects::request_tokens &Effect) {
-  findOrDial(Effect.Peer)
+  linkForRequest(Effect.Peer)
       .send(encodeFrame(wire::SessionBody_TokenAsk,
                         [&](flatbuffers::FlatBufferBuilder &Builder) {
                           const auto Account =
--- a/src/serve/peer_links.hpp
+++ b/src/serve/peer_links.hpp
@@ -5,6 +5,8 @@
 #include "relay_table.hpp"
 #include "wiring.hpp"
 
+#include <bronzespar/proxy/link_watch.hpp>
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -44,22 +46,47 @@
   void carryOut(const proxy::effects::end_forward &Effect);
   void carryOut(const proxy::effects::answer_forward &Effect);
   void carryOut(const proxy::effects::report_pending &Effect);
+  void carryOut(const proxy::effects::check_peer &Effect);
   void carryOut(const proxy::effects::drop_peer &Effect);
   /// \brief Sends a call through a peer; Callback runs once.
   void relay(const endpoint &Peer, const platform::http_call &Call,
              relay_callback Callback);
-  /// \brief Fails relayed calls whose peer did not answer before the deadline.
-  void expireRelays(instant Now);
+  /// \brief Fails relayed calls whose peer did not answer before the deadline,
+  /// checks connections that are silent, and closes those that were replaced.
+  void supervise(instant Now);
   /// \brief Fails relayed watches that are not answered yet, so that they are
   /// sent anew.
   void abandonWatches();
 
 private:
   struct frame_socket;
+  /// A connection that was replaced, as it was silent. Answers that are only
+  /// late may still arrive on it.
+  struct retired_link {
+    std::shared_ptr<frame_socket> Socket;
+    std::uint64_t ReceivedBytes = 0; ///< When it was replaced.
+    instant CloseAt{};
+    bool IsProlonged = false; ///< Something has arrived on it since.
+  };
 
   void accept();
+  std::shared_ptr<frame_socket> makeSocket(boost::asio::ip::tcp::socket Socket,
+                                           std::string Name);
   frame_socket &findOrDial(const endpoint &Where);
+  /// The connection that carries a forwarded statement: the one on which its
+  /// transaction began, or else the usual one.
+  frame_socket &linkOf(const endpoint &Owner, std::uint64_t Ticket);
+  /// Finds or dials a connection for a request that the peer answers at once.
+  frame_socket &linkForRequest(const endpoint &Where);
   void frameArrived(const std::string &Name, const std::string &Frame);
+  void checkLink(const std::string &Name, const endpoint &Where);
+  void checkAnswered(const std::string &Name, std::uint64_t Number);
+  void replaceLink(const std::string &Name);
+  void closeCheck(const std::string &Name);
+  void closeRetired(const std::string &Name);
+  void superviseChecks(instant Now);
+  void superviseRetired(instant Now);
+  void expireRelays(instant Now);
   /// Refuses a statement of a host that speaks another forward protocol.
   void forwardArrived(const std::string &Name,
                       const session_wire::ForwardAsk &Ask);
@@ -75,6 +102,9 @@
   invalid_frame_handler InvalidFrame;
   /// Keyed by "address:port" when dialled, by "#number" when accepted.
   std::map<std::string, std::shared_ptr<frame_socket>> Sockets;
+  /// Connections over which silent ones are checked, by the latter's names.
+  std::map<std::string, std::shared_ptr<frame_socket>> Checks;
+  std::map<std::string, retired_link> Retired; ///< By name.
   relay_table Relays;
   std::uint64_t LastNumber = 0;
 };
--- a/src/serve/session_daemon.cpp
+++ b/src/serve/session_daemon.cpp
@@ -146,6 +146,7 @@
   void carryOut(const effects::end_forward &E) { Peers.carryOut(E); }
   void carryOut(const effects::answer_forward &E) { Peers.carryOut(E); }
   void carryOut(const effects::report_pending &E) { Peers.carryOut(E); }
+  void carryOut(const effects::check_peer &E) { Peers.carryOut(E); }
   void carryOut(const effects::drop_peer &E) { Peers.carryOut(E); }
   void carryOut(const effects::request_vote &E) { Peers.carryOut(E); }
   void carryOut(const effects::send_vote &E) { Peers.carryOut(E); }
@@ -185,7 +186,7 @@
       Callers.closeUnstarted(bootNow());
       Gateway.checkIsolation(bootNow());
       Gateway.reportCalls(bootNow());
-      Peers.expireRelays(bootNow());
+      Peers.supervise(bootNow());
       Store.answerOverduePeers();
       flushLines(Log);
       tick();
--- a/tests/serve/peer_links_tests.cpp
+++ b/tests/serve/peer_links_tests.cpp
@@ -8,6 +8,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
+#include <memory>
+
 #include <string>
 #include <vector>
 
@@ -134,3 +137,130 @@
   CHECK(Answer->ticket() == 7);
   CHECK(proxy::isNotRun(Refusal->Code));
 }
+
+namespace {
+
+/// Passes bytes between a dialling host and another one, until the connections
+/// that are open go silent for good.
+class relay_device {
+public:
+  relay_device(asio::io_context &Context, std::uint16_t TargetPort)
+      : Io(Context), Acceptor(Context, {asio::ip::address_v4::loopback(), 0}),
+        Target(asio::ip::address_v4::loopback(), TargetPort) {
+    accept();
+  }
+
+  [[nodiscard]] endpoint where() const {
+    return {"127.0.0.1", Acceptor.local_endpoint().port()};
+  }
+  void silenceOpenConnections() {
+    for (const auto &Each : Open)
+      Each->IsSilent = true;
+  }
+
+private:
+  struct connection {
+    explicit connection(asio::io_context &Io) : Near(Io), Far(Io) {}
+    tcp::socket Near;
+    tcp::socket Far;
+    std::array<char, 4096> Outward{};
+    std::array<char, 4096> Inward{};
+    bool IsSilent = false;
+  };
+
+  void accept() {
+    auto Next = std::make_shared<connection>(Io);
+    Acceptor.async_accept(Next->Near,
+                          [this, Next](boost::system::error_code Failed) {
+                            if (Failed)
+                              return;
+                            Next->Far.connect(Target);
+                            Open.push_back(Next);
+                            pass(Next, Next->Near, Next->Far, Next->Outward);
+                            pass(Next, Next->Far, Next->Near, Next->Inward);
+                            accept();
+                          });
+  }
+
+  void pass(const std::shared_ptr<connection> &Each, tcp::socket &From,
+            tcp::socket &To, std::array<char, 4096> &Buffer) {
+    From.async_read_some(
+        asio::buffer(Buffer),
+        [this, Each, &From, &To, &Buffer](boost::system::error_code Failed,
+                                          std::size_t Length) {
+          if (Failed)
+            return;
+          if (!Each->IsSilent)
+            asio::write(To, asio::buffer(Buffer, Length));
+          pass(Each, From, To, Buffer);
+        });
+  }
+
+  asio::io_context &Io;
+  tcp::acceptor Acceptor;
+  tcp::endpoint Target;
+  std::vector<std::shared_ptr<connection>> Open;
+};
+
+/// A host that asks another one for tokens through a device between them.
+struct separated_hosts {
+  asio::io_context Io;
+  endpoint Where{"127.0.0.1", freePort(Io)};
+  std::size_t Grants = 0;
+  std::vector<proxy::events::link_replaced> Replaced;
+  serve::peer_links Granter{
+      Io, Where,
+      [this](proxy::event Event) {
+        if (const auto *Asked =
+                std::get_if<proxy::events::tokens_requested>(&Event))
+          Granter.carryOut(
+              proxy::effects::grant_tokens{Asked->Link, Asked->Wanted});
+      },
+      [](const platform::http_call &, const serve::relay_callback &) {},
+      [](const std::string &, std::size_t) {}};
+  relay_device Device{Io, Where.Port};
+  serve::peer_links Asker{
+      Io,
+      {"127.0.0.1", 0},
+      [this](proxy::event Event) {
+        if (std::holds_alternative<proxy::events::tokens_granted>(Event))
+          Grants += 1;
+        if (const auto *Link =
+                std::get_if<proxy::events::link_replaced>(&Event))
+          Replaced.push_back(*Link);
+      },
+      [](const platform::http_call &, const serve::relay_callback &) {},
+      [](const std::string &, std::size_t) {}};
+
+  separated_hosts() { Granter.start(); }
+
+  void ask() {
+    Asker.carryOut(proxy::effects::request_tokens{Device.where(), {"rago", 1}});
+  }
+
+  /// Runs the event loop until a condition holds, for ten seconds at most.
+  template <class Condition> bool runUntil(Condition Holds) {
+    for (int Turn = 0; Turn < 1000 && !Holds(); ++Turn) {
+      Io.restart();
+      Io.run_for(10ms);
+      Asker.supervise(serve::bootNow());
+    }
+    return Holds();
+  }
+};
+
+} // namespace
+
+TEST_CASE(
+    "A silent connection to a host that answers another one is replaced") {
+  separated_hosts Hosts;
+  Hosts.ask();
+  REQUIRE(Hosts.runUntil([&] { return Hosts.Grants == 1; }));
+  Hosts.Device.silenceOpenConnections();
+  Hosts.ask();
+  REQUIRE(Hosts.runUntil([&] { return !Hosts.Replaced.empty(); }));
+  CHECK(Hosts.Replaced.front().Link == toText(Hosts.Device.where()));
+  CHECK(Hosts.Grants == 1);
+  Hosts.ask();
+  CHECK(Hosts.runUntil([&] { return Hosts.Grants == 2; }));
+}
