Learn how much each target takes well

Cause: targets of one service differ in speed, and a limit of slots + 2 keeps one that slows down early in its worst range. A host's own samples followed a change only after many seconds, and a target that was slow once was not tried again by hosts that had others.

Ruled out: less for whatever takes longer (a target that is slow for another reason is given less as well), weights in the settings.

Change: the connection owner tries smaller and larger windows in turn while it has work for them, and keeps the least one with nearly the best throughput. Forwarded answers carry the time that statements take at the target now; what a host knows of a target that it does not use returns to the group's best within seconds.

--- a/include/bronzespar/proxy/messages.hpp
+++ b/include/bronzespar/proxy/messages.hpp
@@ -77,6 +77,9 @@
   std::vector<std::string> Rows;
   session_phase Phase = session_phase::Idle;
   std::optional<log_position> Position; ///< Of the target's log.
+  /// Time that statements take at the target now, as its connection owner
+  /// knows it; waiting included.
+  std::optional<duration> Pace = std::nullopt;
 };
 
 /// \brief A statement that is sent to a target.
--- a/src/proxy/connections.cpp
+++ b/src/proxy/connections.cpp
@@ -29,6 +29,10 @@
 constexpr duration MaxLagBackOff = std::chrono::milliseconds(400);
 /// Weight of the newest sample in the smoothed latency.
 constexpr double LatencyWeight = 0.15;
+/// The same for what a connection owner tells, which it knows from all hosts'
+/// statements.
+constexpr double OwnerPaceWeight = 0.6;
+constexpr double MicrosecondsPerMs = 1000;
 constexpr std::size_t MaxPreparedPerConnection = 48;
 /// A connection is closed when an answer that nobody waits for takes longer.
 constexpr duration AbandonedAnswerTimeout = std::chrono::seconds(2);
@@ -76,7 +80,7 @@
   Connection.Phase = connection_phase::Running;
   Connection.SentAt = Step.Now;
   if (target_view *Target = targetOf(Step, Connection))
-    Target->Running += 1;
+    Connection.UnderWay = ++Target->Running;
   Step.Out.push_back(
       effects::send_target{Connection.Number, {std::move(Outgoing)}});
 }
@@ -240,6 +244,44 @@
     Target.LagBackOff = MinLagBackOff;
 }
 
+/// Statements of one kind and priority take about the same time.
+int serviceClassOf(const target_request &Request) {
+  return Request.Route.Priority * 32 +
+         static_cast<int>(Request.Statement.Kind) * 2 +
+         (Request.Writes ? 1 : 0);
+}
+
+/// Learns from an answer how fast the target is, and tells a forwarding host.
+void updatePace(step_context &Step, target_view &Target,
+                const target_connection &Connection, answer &Answer) {
+  const target_request *Request =
+      findIn(Step.State.Requests, Connection.Request);
+  const double Latency = toMilliseconds(Step.Now - Connection.SentAt);
+  if (Connection.Owner) {
+    const double Known = Answer.Pace ? toMilliseconds(*Answer.Pace) : Latency;
+    const double Weight = Answer.Pace ? OwnerPaceWeight : LatencyWeight;
+    Target.LatencyMs += (Known - Target.LatencyMs) * Weight;
+    return;
+  }
+  Target.LatencyMs += (Latency - Target.LatencyMs) * LatencyWeight;
+  if (Request == nullptr || Answer.Code != answer_code::Complete)
+    return;
+  const unsigned Most = maxUnderWay(Target);
+  const unsigned Before = Target.Pace.Window;
+  recordService(Target.Pace, serviceClassOf(*Request), Connection.UnderWay,
+                Latency, Most, Step.Now);
+  recordTime(Target.Pace, toMilliseconds(Step.Now - Request->ArrivedAt));
+  Answer.Pace = duration(
+      static_cast<duration::rep>(Target.Pace.TimeMs * MicrosecondsPerMs));
+  const unsigned Window = Target.Pace.Window;
+  if (Window != Before && Before != 0)
+    logLine(Step, "target.window",
+            {{"target", Target.Entry.Id},
+             {"window", std::to_string(Window)},
+             {"most", std::to_string(Most)},
+             {"ms", std::to_string(Target.Pace.TimeMs)}});
+}
+
 /// Sets the connection's phase after a caller's statement was answered.
 void updatePhase(step_context &Step, target_connection &Connection,
                  session_phase Phase) {
@@ -256,8 +298,7 @@
   if (target_view *Target = targetOf(Step, Connection)) {
     if (Target->Running > 0)
       Target->Running -= 1;
-    const double Latency = toMilliseconds(Step.Now - Connection.SentAt);
-    Target->LatencyMs += (Latency - Target->LatencyMs) * LatencyWeight;
+    updatePace(Step, *Target, Connection, Answer);
     updateBackOff(Step, *Target, Answer.Code,
                   Connection.PrimaryGeneration != 0);
   }
--- a/src/proxy/listing.cpp
+++ b/src/proxy/listing.cpp
@@ -41,6 +41,7 @@
   if (Restarted) {
     failConnections(Step, Target.Entry.Id, false);
     Target.KnownPosition = {};
+    Target.Pace = {};
     Target.NextDialAt = {};
   }
 }
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -47,6 +47,9 @@
 // Placement of queued requests on targets (placement.cpp).
 void placeWaiting(step_context &Step);
 
+/// \brief Most statements that an owner lets wait and run at a target.
+[[nodiscard]] unsigned maxUnderWay(const target_view &Target) noexcept;
+
 // Positions of primaries (positions.cpp).
 /// \brief Position that a replica must cover to answer a request's read, or
 /// nothing while no recent position of the primary is known.
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -228,14 +228,25 @@
   return Candidates;
 }
 
+/// The least latency that a candidate has shown.
+double leastLatencyMs(const std::vector<candidate> &Candidates) {
+  double Least = Candidates.front().Target->LatencyMs;
+  for (const candidate &Each : Candidates)
+    Least = std::min(Least, Each.Target->LatencyMs);
+  return Least;
+}
+
+/// \param UsualMs Latency of a target to which nothing was sent for long.
 placement_option optionFor(step_context &Step, const target_request &Request,
                            const caller_session &Session,
-                           const candidate &Candidate, std::size_t Index) {
+                           const candidate &Candidate, std::size_t Index,
+                           double UsualMs) {
   host &State = Step.State;
   target_view &Target = *Candidate.Target;
   placement_option Option;
   Option.Target = Index;
-  Option.LatencyMs = Target.LatencyMs;
+  Option.LatencyMs =
+      forgottenMs(Target.LatencyMs, UsualMs, Step.Now - Target.AnsweredAt);
   Option.Running = Target.Running;
   if (Target.Entry.DataCentre != State.Identity.DataCentre)
     Option.CrossingCostMs = crossingCostMs(Request.Route.LatencyGoal);
@@ -250,7 +261,7 @@
   // dial occupies a slot as well.
   if (areConnectionsOwned(State, Target.Entry.Group) &&
       Target.Running + Target.Dialling >=
-          Target.Entry.Slots + MaxQueuedAtTarget)
+          windowOf(Target.Pace, maxUnderWay(Target)))
     return Option;
   if (const auto *Idle =
           idleConnection(State, Target.Entry.Id, Request.Account, Session))
@@ -327,9 +338,10 @@
     return;
   }
   std::vector<placement_option> Options;
+  const double UsualMs = leastLatencyMs(Candidates);
   for (std::size_t Index = 0; Index < Candidates.size(); ++Index)
     Options.push_back(
-        optionFor(Step, Request, Session, Candidates[Index], Index));
+        optionFor(Step, Request, Session, Candidates[Index], Index, UsualMs));
   auto Chosen = choosePlacement(Options);
   if (PassState.Pass == placement_pass::UseIdleConnections && Chosen &&
       !Chosen->IsForwarded && Chosen->Connection == 0) {
@@ -416,6 +428,10 @@
 
 } // namespace
 
+unsigned maxUnderWay(const target_view &Target) noexcept {
+  return Target.Entry.Slots + MaxQueuedAtTarget;
+}
+
 double crossingCostMs(duration LatencyGoal) noexcept {
   return std::max(MinCrossingCostMs,
                   toMilliseconds(LatencyGoal) * CrossingCostOfGoal);
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -4,6 +4,7 @@
 #include <bronzespar/proxy/allowance.hpp>
 #include <bronzespar/proxy/freshness.hpp>
 #include <bronzespar/proxy/host.hpp>
+#include <bronzespar/proxy/target_pace.hpp>
 #include <bronzespar/proxy/waiting_queue.hpp>
 
 #include "records.hpp"
@@ -143,6 +144,7 @@
   /// When this host noticed that it may not go on with that use.
   std::optional<instant> RightEndedAt;
   instant SentAt{};
+  unsigned UnderWay = 0; ///< Statements at the target when the last was sent.
   instant IdleSince{};
   instant DialledAt{};
 };
@@ -173,6 +175,7 @@
   log_position KnownPosition; ///< Highest position that it reported.
   instant AnsweredAt{};
   unsigned Dialling = 0; ///< Connections that are being opened.
+  target_pace Pace;      ///< Learnt by its connection owner.
 };
 
 enum class promotion_stage {
--- a/src/serve/peer_codec.cpp
+++ b/src/serve/peer_codec.cpp
@@ -157,7 +157,10 @@
         const auto Position = positionOf(Builder, Answer.Position);
         return wire::CreateForwardAnswer(
             Builder, Effect.Ticket, static_cast<std::uint8_t>(Answer.Code),
-            Text, Rows, static_cast<std::uint8_t>(Answer.Phase), Position);
+            Text, Rows, static_cast<std::uint8_t>(Answer.Phase), Position,
+            Answer.Pace
+                ? flatbuffers::Optional<std::int64_t>(Answer.Pace->count())
+                : flatbuffers::nullopt);
       });
 }
 
@@ -174,6 +177,8 @@
       Answer.Rows.push_back(textOf(Row));
   Answer.Phase = *Phase;
   Answer.Position = positionOf(Wire.position());
+  if (const auto PaceUs = Wire.pace_us())
+    Answer.Pace = duration(*PaceUs);
   return Answer;
 }
 
