Move the watch of the store and its client to src/serve

Change: store_watch, store_client and their tests move, and take the namespace of src/serve. No behaviour changes.

--- a/src/serve/relay_table.cpp
+++ b/src/serve/relay_table.cpp
@@ -1,7 +1,7 @@
 /// Ends of relayed calls.
 #include "relay_table.hpp"
 
-#include <platform/store_watch.hpp>
+#include "store_watch.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -14,7 +14,7 @@
 constexpr duration RelayTimeoutMargin = std::chrono::milliseconds(100);
 /// A peer that is reached answers each watch within PeerWatchTimeout.
 constexpr duration PeerSilenceTimeout =
-    platform::PeerWatchTimeout + std::chrono::milliseconds(600);
+    PeerWatchTimeout + std::chrono::milliseconds(600);
 
 /// Ends the calls that Selects chooses, without an answer.
 template <class Predicate>
--- a/src/serve/session_daemon.cpp
+++ b/src/serve/session_daemon.cpp
@@ -56,7 +56,7 @@
                   writeLog(Event, std::move(Fields));
                 }),
         Store(
-            platform::makeScheduler(Io), Gateway.makeChannels(), sink(),
+            makeScheduler(Io), Gateway.makeChannels(), sink(),
             [this](const std::string &Key, const std::string &Fault) {
               writeLog("store.unusable", {{"key", Key}, {"fault", Fault}});
             },
@@ -240,7 +240,7 @@
   target_links Targets;
   peer_links Peers;
   store_gateway Gateway;
-  platform::store_client Store;
+  store_client Store;
   text_server Readiness;
   text_server Metrics;
 };
--- a/src/serve/session_daemon.hpp
+++ b/src/serve/session_daemon.hpp
@@ -4,8 +4,6 @@
 
 #include "serve_settings.hpp"
 
-#include <platform/store_client.hpp>
-
 #include <functional>
 #include <string>
 
--- a/platform/store_client.cpp
+++ b/src/serve/store_client.cpp
@@ -1,12 +1,12 @@
 /// Calls to the platform and the events made of their answers.
 #include "store_client.hpp"
 
-#include "operator_document.hpp"
-#include "store_codec.hpp"
+#include <platform/operator_document.hpp>
+#include <platform/store_codec.hpp>
 
 #include <utility>
 
-namespace bronzespar::platform {
+namespace bronzespar::serve {
 
 namespace {
 
@@ -39,7 +39,7 @@
   }
 }
 
-proxy::order_outcome orderOutcomeOf(const http_answer &Answer) {
+proxy::order_outcome orderOutcomeOf(const platform::http_answer &Answer) {
   if (!Answer.Sent)
     return proxy::order_outcome::NotSent;
   switch (Answer.Status) {
@@ -56,13 +56,13 @@
 }
 
 proxy::events::change_ended changeEnded(proxy::call_number Call,
-                                        const http_answer &Answer) {
+                                        const platform::http_answer &Answer) {
   proxy::events::change_ended Event;
   Event.Call = Call;
   Event.Outcome = outcomeOf(Answer.Status);
-  Event.Revision = parseRevision(Answer.Body);
+  Event.Revision = platform::parseRevision(Answer.Body);
   if (Event.Outcome == proxy::change_outcome::Conflict)
-    Event.Current = parseConflict(Answer.Body);
+    Event.Current = platform::parseConflict(Answer.Body);
   return Event;
 }
 
@@ -78,13 +78,13 @@
       ChangeCall(std::move(Channels.Change)),
       PromotionCall(std::move(Channels.Promotion)),
       Operator(Scheduler, Clock, std::move(Channels.Operator),
-               std::string(OperatorPrefix),
+               std::string(platform::OperatorPrefix),
                proxy::settingsTiming(SettingsDeadline), operatorHooks()),
       Targets(Scheduler, Clock, std::move(Channels.Targets),
-              std::string(TargetsPrefix), proxy::targetsTiming(),
+              std::string(platform::TargetsPrefix), proxy::targetsTiming(),
               hooksFor(&store_client::targetsChanged)),
       Records(Scheduler, Clock, std::move(Channels.Records),
-              std::string(OwnPrefix), proxy::recordsTiming(),
+              std::string(platform::OwnPrefix), proxy::recordsTiming(),
               hooksFor(&store_client::recordsChanged)) {}
 
 watch_hooks store_client::operatorHooks() {
@@ -96,9 +96,9 @@
   return Hooks;
 }
 
-watch_hooks store_client::hooksFor(
-    void (store_client::*Changed)(const std::vector<store_change> &)) {
-  return {[this, Changed](const std::vector<store_change> &Changes) {
+watch_hooks store_client::hooksFor(void (store_client::*Changed)(
+    const std::vector<platform::store_change> &)) {
+  return {[this, Changed](const std::vector<platform::store_change> &Changes) {
             (this->*Changed)(Changes);
           },
           [this](bool Answered) { recordAnswer(Answered); },
@@ -116,8 +116,9 @@
     Watch->start();
 }
 
-bool store_client::serveWatch(const http_call &Call, http_callback Done) {
-  const auto Request = parseWatchCall(Call.Path);
+bool store_client::serveWatch(const platform::http_call &Call,
+                              platform::http_callback Done) {
+  const auto Request = platform::parseWatchCall(Call.Path);
   if (!Request)
     return false;
   for (store_watch *Watch : watches())
@@ -152,12 +153,14 @@
   Events(proxy::events::store_reachability_changed{StoreReachable});
 }
 
-void store_client::operatorChanged(const std::vector<store_change> &Changes) {
-  for (const store_change &Change : Changes) {
-    if (Change.Record.Key != OperatorKey || Change.Removed)
+void store_client::operatorChanged(
+    const std::vector<platform::store_change> &Changes) {
+  for (const platform::store_change &Change : Changes) {
+    if (Change.Record.Key != platform::OperatorKey || Change.Removed)
       continue;
     std::string Fault;
-    if (auto Settings = parseOperatorDocument(Change.Record.Value, Fault)) {
+    if (auto Settings =
+            platform::parseOperatorDocument(Change.Record.Value, Fault)) {
       Receipts(LastReceipt, Settings->Version);
       Events(proxy::events::settings_changed{std::move(*Settings)});
     } else {
@@ -166,15 +169,18 @@
   }
 }
 
-void store_client::targetsChanged(const std::vector<store_change> &Changes) {
-  for (const store_change &Change : Changes) {
-    const std::string Id = Change.Record.Key.substr(TargetsPrefix.size());
+void store_client::targetsChanged(
+    const std::vector<platform::store_change> &Changes) {
+  for (const platform::store_change &Change : Changes) {
+    const std::string Id =
+        Change.Record.Key.substr(platform::TargetsPrefix.size());
     if (Change.Removed) {
       Entries.erase(Id);
       continue;
     }
     std::string Fault;
-    if (auto Entry = parseTargetEntry(Id, Change.Record.Value, Fault)) {
+    if (auto Entry =
+            platform::parseTargetEntry(Id, Change.Record.Value, Fault)) {
       Entries[Id] = std::move(*Entry);
     } else {
       Entries.erase(Id);
@@ -187,10 +193,11 @@
   Events(std::move(Listed));
 }
 
-void store_client::recordsChanged(const std::vector<store_change> &Changes) {
-  for (const store_change &Change : Changes) {
+void store_client::recordsChanged(
+    const std::vector<platform::store_change> &Changes) {
+  for (const platform::store_change &Change : Changes) {
     proxy::store_record Record = Change.Record;
-    Record.Key.erase(0, OwnPrefix.size());
+    Record.Key.erase(0, platform::OwnPrefix.size());
     if (Change.Removed)
       Events(proxy::events::record_removed{std::move(Record.Key),
                                            Record.Revision});
@@ -200,8 +207,8 @@
 }
 
 void store_client::carryOut(const proxy::effects::change_records &Change) {
-  ChangeCall(changeCall(Change),
-             [this, Call = Change.Call](const http_answer &Answer) {
+  ChangeCall(platform::changeCall(Change),
+             [this, Call = Change.Call](const platform::http_answer &Answer) {
                recordAnswer(Answer.Status != 0);
                Events(changeEnded(Call, Answer));
              });
@@ -216,22 +223,23 @@
 
 void store_client::readPage(proxy::events::records_read Read,
                             const std::string &AfterKey) {
-  http_call Call = rangeCall(std::string(OwnPrefix) + Read.Prefix, AfterKey);
-  ChangeCall(std::move(Call), [this, Read = std::move(Read),
-                               AfterKey](const http_answer &Answer) mutable {
+  platform::http_call Call = platform::rangeCall(
+      std::string(platform::OwnPrefix) + Read.Prefix, AfterKey);
+  ChangeCall(std::move(Call), [this, Read = std::move(Read), AfterKey](
+                                  const platform::http_answer &Answer) mutable {
     pageRead(std::move(Read), Answer, AfterKey);
   });
 }
 
 void store_client::pageRead(proxy::events::records_read Read,
-                            const http_answer &Answer,
+                            const platform::http_answer &Answer,
                             const std::string &AfterKey) {
-  auto Page =
-      Answer.Status == StatusOk ? parseRange(Answer.Body) : std::nullopt;
+  auto Page = Answer.Status == StatusOk ? platform::parseRange(Answer.Body)
+                                        : std::nullopt;
   recordAnswer(Page.has_value());
-  const bool IsRepeated = Page && isRepeated(*Page, AfterKey);
+  const bool IsRepeated = Page && platform::isRepeated(*Page, AfterKey);
   if (IsRepeated)
-    Faults(AfterKey, std::string(RepeatedPageFault));
+    Faults(AfterKey, std::string(platform::RepeatedPageFault));
   if (!Page || IsRepeated) {
     Read.Records.clear();
     Events(std::move(Read));
@@ -243,7 +251,7 @@
   const std::string LastKey =
       Page->Records.empty() ? std::string() : Page->Records.back().Key;
   for (proxy::store_record &Record : Page->Records) {
-    Record.Key.erase(0, OwnPrefix.size());
+    Record.Key.erase(0, platform::OwnPrefix.size());
     Read.Records.push_back(std::move(Record));
   }
   if (Page->HasMore && !LastKey.empty()) {
@@ -255,29 +263,30 @@
 }
 
 void store_client::carryOut(const proxy::effects::grant_lease &Grant) {
-  http_call Call = grantCall(Grant.TimeToLive);
+  platform::http_call Call = platform::grantCall(Grant.TimeToLive);
   Call.Timeout = LeaseCallTimeout;
-  LeaseCall(
-      std::move(Call), [this, SentAt = Clock()](const http_answer &Answer) {
-        const auto Granted =
-            Answer.Status == StatusOk ? parseLease(Answer.Body) : std::nullopt;
-        recordAnswer(Granted.has_value());
-        proxy::events::lease_answered Event;
-        Event.SentAt = SentAt;
-        Event.Answered = Granted && Granted->Lease != 0;
-        if (Event.Answered) {
-          Event.Lease = Granted->Lease;
-          Event.TimeToLive = Granted->TimeToLive;
-        }
-        Events(Event);
-      });
+  LeaseCall(std::move(Call),
+            [this, SentAt = Clock()](const platform::http_answer &Answer) {
+              const auto Granted = Answer.Status == StatusOk
+                                       ? platform::parseLease(Answer.Body)
+                                       : std::nullopt;
+              recordAnswer(Granted.has_value());
+              proxy::events::lease_answered Event;
+              Event.SentAt = SentAt;
+              Event.Answered = Granted && Granted->Lease != 0;
+              if (Event.Answered) {
+                Event.Lease = Granted->Lease;
+                Event.TimeToLive = Granted->TimeToLive;
+              }
+              Events(Event);
+            });
 }
 
 void store_client::carryOut(const proxy::effects::renew_lease &Renew) {
-  http_call Call = renewCall(Renew.Lease);
+  platform::http_call Call = platform::renewCall(Renew.Lease);
   Call.Timeout = LeaseCallTimeout;
-  LeaseCall(std::move(Call), [this, Lease = Renew.Lease,
-                              SentAt = Clock()](const http_answer &Answer) {
+  LeaseCall(std::move(Call), [this, Lease = Renew.Lease, SentAt = Clock()](
+                                 const platform::http_answer &Answer) {
     const bool Renewed = Answer.Status == StatusOk;
     const bool Gone = Answer.Status == StatusLeaseGone;
     recordAnswer(Renewed || Gone);
@@ -285,20 +294,22 @@
     Event.SentAt = SentAt;
     Event.Answered = Renewed || Gone;
     Event.Lease = Renewed ? Lease : 0;
-    if (const auto Granted = Renewed ? parseLease(Answer.Body) : std::nullopt)
+    if (const auto Granted =
+            Renewed ? platform::parseLease(Answer.Body) : std::nullopt)
       Event.TimeToLive = Granted->TimeToLive;
     Events(Event);
   });
 }
 
 void store_client::carryOut(const proxy::effects::revoke_lease &End) {
-  ChangeCall(revokeCall(End.Lease), [this](const http_answer &Answer) {
-    recordAnswer(Answer.Status != 0);
-  });
+  ChangeCall(platform::revokeCall(End.Lease),
+             [this](const platform::http_answer &Answer) {
+               recordAnswer(Answer.Status != 0);
+             });
 }
 
 void store_client::carryOut(const proxy::effects::order_promotion &Order) {
-  http_call Call = promoteCall(Order);
+  platform::http_call Call = platform::promoteCall(Order);
   Call.MaySend = [this, Order] {
     if (!MayOrder(Order))
       return false;
@@ -308,10 +319,10 @@
   };
   PromotionCall(std::move(Call),
                 [this, Group = Order.Group,
-                 Number = Order.Call](const http_answer &Answer) {
+                 Number = Order.Call](const platform::http_answer &Answer) {
                   Events(proxy::events::promotion_answered{
                       Group, Number, orderOutcomeOf(Answer)});
                 });
 }
 
-} // namespace bronzespar::platform
+} // namespace bronzespar::serve
--- a/platform/store_client.hpp
+++ b/src/serve/store_client.hpp
@@ -2,8 +2,9 @@
 /// calls to its store, and orders to promote a target.
 #pragma once
 
-#include "http_link.hpp"
 #include "store_watch.hpp"
+#include "wiring.hpp"
+#include <platform/http_link.hpp>
 
 #include <bronzespar/proxy/interface.hpp>
 
@@ -14,9 +15,8 @@
 #include <map>
 #include <string>
 
-namespace bronzespar::platform {
+namespace bronzespar::serve {
 
-using event_sink = std::function<void(proxy::event)>;
 /// Receives the key of an entry or document that is unusable, and the error.
 using fault_sink =
     std::function<void(const std::string &Key, const std::string &Fault)>;
@@ -33,12 +33,12 @@
 /// \brief Channels for the calls of each kind. A call waits only for earlier
 /// calls of its own channel.
 struct platform_channels {
-  call_function Lease;
-  call_function Change;
-  call_function Operator;
-  call_function Targets;
-  call_function Records;
-  call_function Promotion; ///< Orders to promote.
+  platform::call_function Lease;
+  platform::call_function Change;
+  platform::call_function Operator;
+  platform::call_function Targets;
+  platform::call_function Records;
+  platform::call_function Promotion; ///< Orders to promote.
 };
 
 /// \brief Carries out effects that call the platform and reports the answers as
@@ -56,7 +56,8 @@
   void start();
   /// \brief Answers a peer's watch call from this host's own watch.
   /// \returns False when this host does not watch the prefix.
-  [[nodiscard]] bool serveWatch(const http_call &Call, http_callback Done);
+  [[nodiscard]] bool serveWatch(const platform::http_call &Call,
+                                platform::http_callback Done);
   /// \brief Answers peers' watch calls that have reached their deadline.
   void answerOverduePeers();
   void carryOut(const proxy::effects::change_records &Change);
@@ -67,18 +68,19 @@
   void carryOut(const proxy::effects::order_promotion &Order);
 
 private:
-  void operatorChanged(const std::vector<store_change> &Changes);
-  void targetsChanged(const std::vector<store_change> &Changes);
-  void recordsChanged(const std::vector<store_change> &Changes);
+  void operatorChanged(const std::vector<platform::store_change> &Changes);
+  void targetsChanged(const std::vector<platform::store_change> &Changes);
+  void recordsChanged(const std::vector<platform::store_change> &Changes);
   void recordAnswer(bool Answered);
   /// Reads the page after a key; Read holds the records of the earlier pages.
   void readPage(proxy::events::records_read Read, const std::string &AfterKey);
-  void pageRead(proxy::events::records_read Read, const http_answer &Answer,
+  void pageRead(proxy::events::records_read Read,
+                const platform::http_answer &Answer,
                 const std::string &AfterKey);
   [[nodiscard]] std::array<store_watch *, 3> watches() noexcept;
   watch_hooks operatorHooks();
-  watch_hooks
-  hooksFor(void (store_client::*Changed)(const std::vector<store_change> &));
+  watch_hooks hooksFor(void (store_client::*Changed)(
+      const std::vector<platform::store_change> &));
 
   event_sink Events;
   fault_sink Faults;
@@ -86,9 +88,9 @@
   clock_function Clock;
   receipt_sink Receipts = [](const proxy::watch_receipt &, std::uint64_t) {};
   proxy::watch_receipt LastReceipt; ///< Of the operator's document.
-  call_function LeaseCall;
-  call_function ChangeCall;
-  call_function PromotionCall;
+  platform::call_function LeaseCall;
+  platform::call_function ChangeCall;
+  platform::call_function PromotionCall;
   store_watch Operator;
   store_watch Targets;
   store_watch Records;
@@ -97,4 +99,4 @@
   bool StoreReachable = false;
 };
 
-} // namespace bronzespar::platform
+} // namespace bronzespar::serve
--- a/src/serve/store_gateway.cpp
+++ b/src/serve/store_gateway.cpp
@@ -1,8 +1,8 @@
 /// Choice between direct and relayed calls.
 #include "store_gateway.hpp"
 
+#include "store_watch.hpp"
 #include <platform/http_pool.hpp>
-#include <platform/store_watch.hpp>
 
 #include <boost/asio/post.hpp>
 
@@ -19,7 +19,7 @@
 /// than this is unreachable or slow, and the settings would be outdated
 /// meanwhile.
 constexpr duration PeerWatchAnswerTimeout =
-    platform::PeerWatchTimeout + std::chrono::milliseconds(500);
+    PeerWatchTimeout + std::chrono::milliseconds(500);
 /// Orders of different groups do not wait for one another, as the platform may
 /// be slow while many primaries are replaced at the same time.
 constexpr std::size_t MaxPromotionLinks = 16;
@@ -112,8 +112,8 @@
     : Links(std::move(Connections)), Events(std::move(Sink)),
       Log(std::move(Logger)) {}
 
-platform::platform_channels store_gateway::makeChannels() {
-  platform::platform_channels Channels;
+platform_channels store_gateway::makeChannels() {
+  platform_channels Channels;
   Channels.Lease = makeStoreChannel();
   Channels.Change = makeStoreChannel();
   Channels.Operator = makeStoreChannel();
--- a/src/serve/store_gateway.hpp
+++ b/src/serve/store_gateway.hpp
@@ -2,11 +2,11 @@
 #pragma once
 
 #include "peer_links.hpp"
+#include "store_client.hpp"
 #include "wiring.hpp"
 
 #include <bronzespar/proxy/store_access.hpp>
 #include <platform/http_link.hpp>
-#include <platform/store_client.hpp>
 
 #include <map>
 #include <memory>
@@ -32,7 +32,7 @@
       Relay;
   /// Ends all relayed watches without an answer.
   std::function<void()> AbandonWatches;
-  platform::clock_function Now;
+  clock_function Now;
 };
 
 /// \brief Makes links over sockets.
@@ -58,7 +58,7 @@
   using watch_server =
       std::function<bool(const platform::http_call &, platform::http_callback)>;
 
-  [[nodiscard]] platform::platform_channels makeChannels();
+  [[nodiscard]] platform_channels makeChannels();
   void setWatchServer(watch_server Server) { WatchServer = std::move(Server); }
   void setRelays(std::vector<endpoint> Relays) {
     RelayPeers = std::move(Relays);
--- a/platform/store_watch.cpp
+++ b/src/serve/store_watch.cpp
@@ -7,7 +7,7 @@
 #include <memory>
 #include <set>
 
-namespace bronzespar::platform {
+namespace bronzespar::serve {
 
 namespace {
 
@@ -39,8 +39,9 @@
 }
 
 store_watch::store_watch(schedule_function Scheduler, clock_function Now,
-                         call_function Calls, std::string WatchedPrefix,
-                         proxy::watch_timing Times, watch_hooks Callbacks)
+                         platform::call_function Calls,
+                         std::string WatchedPrefix, proxy::watch_timing Times,
+                         watch_hooks Callbacks)
     : Schedule(std::move(Scheduler)), Clock(std::move(Now)),
       Call(std::move(Calls)), Prefix(std::move(WatchedPrefix)), Timing(Times),
       Hooks(std::move(Callbacks)) {}
@@ -64,23 +65,23 @@
 void store_watch::read() {
   std::string After =
       ReadRecords.empty() ? std::string() : ReadRecords.back().Key;
-  http_call Range = rangeCall(Prefix, After);
+  platform::http_call Range = platform::rangeCall(Prefix, After);
   Range.Demand = proxy::demandOf(Proof, Timing);
-  Call(std::move(Range), [this, AfterKey = std::move(After),
-                          SentAt = Clock()](const http_answer &Answer) {
+  Call(std::move(Range), [this, AfterKey = std::move(After), SentAt = Clock()](
+                             const platform::http_answer &Answer) {
     readAnswered(Answer, AfterKey, SentAt);
   });
 }
 
-void store_watch::readAnswered(const http_answer &Answer,
+void store_watch::readAnswered(const platform::http_answer &Answer,
                                const std::string &AfterKey, instant SentAt) {
-  auto Page =
-      Answer.Status == StatusOk ? parseRange(Answer.Body) : std::nullopt;
+  auto Page = Answer.Status == StatusOk ? platform::parseRange(Answer.Body)
+                                        : std::nullopt;
   Hooks.Answered(Page.has_value());
   FastAnswersLeft = FastAnswerCount;
-  const bool IsRepeated = Page && isRepeated(*Page, AfterKey);
+  const bool IsRepeated = Page && platform::isRepeated(*Page, AfterKey);
   if (IsRepeated)
-    Hooks.Failed(AfterKey, std::string(RepeatedPageFault));
+    Hooks.Failed(AfterKey, std::string(platform::RepeatedPageFault));
   if (!Page || IsRepeated) {
     ReadRecords.clear();
     retry();
@@ -99,7 +100,7 @@
     read();
     return;
   }
-  std::vector<store_change> Changes;
+  std::vector<platform::store_change> Changes;
   std::set<std::string> Present;
   for (proxy::store_record &Record : ReadRecords) {
     Present.insert(Record.Key);
@@ -122,21 +123,23 @@
 
 void store_watch::watch() {
   const duration Wait = proxy::nextWait(Proof, Timing, Clock());
-  http_call Watch = watchCall(Prefix, Revision, Wait, Timing.AnswerMargin);
+  platform::http_call Watch =
+      platform::watchCall(Prefix, Revision, Wait, Timing.AnswerMargin);
   Watch.Demand = proxy::demandOf(Proof, Timing);
   Call(std::move(Watch),
-       [this, Wait, SentAt = Clock()](const http_answer &Answer) {
+       [this, Wait, SentAt = Clock()](const platform::http_answer &Answer) {
          watchAnswered(Answer, SentAt, Wait);
        });
 }
 
-void store_watch::recordProof(const http_answer &Answer, instant ValidAt) {
+void store_watch::recordProof(const platform::http_answer &Answer,
+                              instant ValidAt) {
   proxy::raiseProof(Proof, ValidAt, Answer.Proof);
   Hooks.Received(proxy::receiptOf(Proof, Answer.Via, Clock()));
 }
 
-void store_watch::watchAnswered(const http_answer &Answer, instant SentAt,
-                                duration Wait) {
+void store_watch::watchAnswered(const platform::http_answer &Answer,
+                                instant SentAt, duration Wait) {
   if (Answer.Status == StatusHistoryLost) {
     NeedsRead = true;
     ConsecutiveHistoryLosses += 1;
@@ -145,8 +148,8 @@
     return;
   }
   ConsecutiveHistoryLosses = 0;
-  auto Page =
-      Answer.Status == StatusOk ? parseWatch(Answer.Body) : std::nullopt;
+  auto Page = Answer.Status == StatusOk ? platform::parseWatch(Answer.Body)
+                                        : std::nullopt;
   Hooks.Answered(Page.has_value());
   if (!Page) {
     FastAnswersLeft = FastAnswerCount;
@@ -169,8 +172,9 @@
   scheduleCall(HasChanges ? Delay : duration::zero());
 }
 
-void store_watch::recordRecent(const std::vector<store_change> &Changes) {
-  for (const store_change &Change : Changes) {
+void store_watch::recordRecent(
+    const std::vector<platform::store_change> &Changes) {
+  for (const platform::store_change &Change : Changes) {
     // A peer needs only the latest change of a key, and values may be large.
     std::erase_if(Recent, [&](const recent_change &Older) {
       return Older.Change.Record.Key == Change.Record.Key;
@@ -184,23 +188,24 @@
 }
 
 std::string store_watch::pageAfter(std::uint64_t AfterRevision) const {
-  watch_page Page;
+  platform::watch_page Page;
   Page.Revision = std::max(Revision, AfterRevision);
   for (const recent_change &Each : Recent)
     if (Each.SeenAt > AfterRevision)
       Page.Changes.push_back(Each.Change);
-  return formatWatch(Page);
+  return platform::formatWatch(Page);
 }
 
-http_answer store_watch::answerToPeer(std::string Page,
-                                      instant ArrivedAt) const {
-  http_answer Answer{StatusOk, std::move(Page)};
+platform::http_answer store_watch::answerToPeer(std::string Page,
+                                                instant ArrivedAt) const {
+  platform::http_answer Answer{StatusOk, std::move(Page)};
   Answer.Proof = proxy::proofForPeer(Proof, ArrivedAt);
 
   return Answer;
 }
 
-void store_watch::servePeer(std::uint64_t AfterRevision, http_callback Done) {
+void store_watch::servePeer(std::uint64_t AfterRevision,
+                            platform::http_callback Done) {
   const instant Now = Clock();
   if (!HasRead || AfterRevision < RecentAfter) {
     Done({HasRead ? StatusHistoryLost : StatusUnavailable, {}});
@@ -249,7 +254,7 @@
     Peer.Done({});
 }
 
-bool store_watch::isNewer(const store_change &Change) const {
+bool store_watch::isNewer(const platform::store_change &Change) const {
   const auto Found = KnownRevisions.find(Change.Record.Key);
   if (Found != KnownRevisions.end())
     return Change.Record.Revision > Found->second;
@@ -258,10 +263,10 @@
   return !HasRead || Change.Record.Revision > Revision;
 }
 
-void store_watch::apply(std::vector<store_change> Changes,
+void store_watch::apply(std::vector<platform::store_change> Changes,
                         std::uint64_t CompleteUntil, bool IsFullRead) {
-  std::vector<store_change> Newer;
-  for (store_change &Change : Changes) {
+  std::vector<platform::store_change> Newer;
+  for (platform::store_change &Change : Changes) {
     if (!isNewer(Change))
       continue;
     if (Change.Removed)
@@ -277,4 +282,4 @@
     Hooks.Changed(Newer);
 }
 
-} // namespace bronzespar::platform
+} // namespace bronzespar::serve
--- a/platform/store_watch.hpp
+++ b/src/serve/store_watch.hpp
@@ -1,8 +1,8 @@
 /// Follows all items below a prefix of the store.
 #pragma once
 
-#include "http_link.hpp"
-#include "store_codec.hpp"
+#include <platform/http_link.hpp>
+#include <platform/store_codec.hpp>
 
 #include <deque>
 #include <functional>
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace bronzespar::platform {
+namespace bronzespar::serve {
 
 /// A peer's watch is answered after this time even without changes, so that a
 /// peer whose watch stays unanswered for longer knows that it cannot reach this
@@ -29,7 +29,7 @@
 struct watch_hooks {
   /// Receives changes in order; the list is empty when a read of the whole
   /// prefix found none.
-  std::function<void(const std::vector<store_change> &)> Changed;
+  std::function<void(const std::vector<platform::store_change> &)> Changed;
   /// Receives whether a call was answered.
   std::function<void(bool Answered)> Answered;
   /// Receives the key at which a read had to end, and the error.
@@ -48,7 +48,7 @@
 public:
   /// \param Calls Makes this watch's calls.
   store_watch(schedule_function Scheduler, clock_function Now,
-              call_function Calls, std::string WatchedPrefix,
+              platform::call_function Calls, std::string WatchedPrefix,
               proxy::watch_timing Times, watch_hooks Callbacks);
   store_watch(const store_watch &) = delete;
   store_watch &operator=(const store_watch &) = delete;
@@ -59,7 +59,7 @@
   /// newer than AfterRevision or this watch has a newer proof, at the latest
   /// after PeerWatchTimeout. Status 503: this watch has not read the prefix
   /// yet.
-  void servePeer(std::uint64_t AfterRevision, http_callback Done);
+  void servePeer(std::uint64_t AfterRevision, platform::http_callback Done);
   /// \brief Answers peers that have waited for PeerWatchTimeout without a
   /// change.
   void answerOverduePeers();
@@ -73,37 +73,38 @@
     std::uint64_t AfterRevision = 0;
     instant ArrivedAt{};
     instant ProvenAt{}; ///< This watch's proof when the call arrived.
-    http_callback Done;
+    platform::http_callback Done;
   };
   void read();
   /// \param AfterKey The key after which the page was to begin.
-  void readAnswered(const http_answer &Answer, const std::string &AfterKey,
-                    instant SentAt);
+  void readAnswered(const platform::http_answer &Answer,
+                    const std::string &AfterKey, instant SentAt);
   void watch();
-  void watchAnswered(const http_answer &Answer, instant SentAt, duration Wait);
+  void watchAnswered(const platform::http_answer &Answer, instant SentAt,
+                     duration Wait);
   void retry();
   /// Takes over a proof, and reports what the answer showed.
-  void recordProof(const http_answer &Answer, instant ValidAt);
+  void recordProof(const platform::http_answer &Answer, instant ValidAt);
   void scheduleCall(duration Delay);
-  void recordRecent(const std::vector<store_change> &Changes);
+  void recordRecent(const std::vector<platform::store_change> &Changes);
   [[nodiscard]] std::string pageAfter(std::uint64_t AfterRevision) const;
   /// An answer to a peer's call, with what this watch knows of its age.
-  [[nodiscard]] http_answer answerToPeer(std::string Page,
-                                         instant ArrivedAt) const;
+  [[nodiscard]] platform::http_answer answerToPeer(std::string Page,
+                                                   instant ArrivedAt) const;
   /// Answers peers for which there is a newer change or proof, and those that
   /// arrived before.
   void answerPeerWatches(instant ArrivedBefore);
-  [[nodiscard]] bool isNewer(const store_change &Change) const;
+  [[nodiscard]] bool isNewer(const platform::store_change &Change) const;
   /// Reports changes that are newer than the known revisions and keeps them for
   /// peers.
   /// \param CompleteUntil Store revision up to which all changes are known
   /// afterwards.
-  void apply(std::vector<store_change> Changes, std::uint64_t CompleteUntil,
-             bool IsFullRead);
+  void apply(std::vector<platform::store_change> Changes,
+             std::uint64_t CompleteUntil, bool IsFullRead);
 
   schedule_function Schedule;
   clock_function Clock;
-  call_function Call;
+  platform::call_function Call;
   std::string Prefix;
   proxy::watch_timing Timing;
   watch_hooks Hooks;
@@ -122,7 +123,7 @@
   proxy::proof_state Proof;
   struct recent_change {
     std::uint64_t SeenAt = 0; ///< Revision of the watch answer that had it.
-    store_change Change;
+    platform::store_change Change;
   };
   /// The latest change after RecentAfter of each key, oldest first; at most
   /// MaxRecentChanges.
@@ -131,4 +132,4 @@
   std::vector<peer_watch> PeerWatches;
 };
 
-} // namespace bronzespar::platform
+} // namespace bronzespar::serve
--- a/tests/platform/odd_entry_tests.cpp
+++ b/tests/serve/odd_entry_tests.cpp
@@ -1,6 +1,6 @@
 /// Odd entries of other writers beside the entry of a target, in each way in
 /// which a host learns of them.
-#include <platform/store_client.hpp>
+#include <serve/store_client.hpp>
 
 #include <bronzespar/base64.hpp>
 
@@ -14,6 +14,7 @@
 
 using namespace bronzespar;
 using namespace bronzespar::platform;
+using namespace bronzespar::serve;
 
 constexpr unsigned StatusOk = 200;
 const instant Now = instant(1000s);
--- a/tests/serve/simulated_settings.cpp
+++ b/tests/serve/simulated_settings.cpp
@@ -106,7 +106,7 @@
         if (Event != "store.calls")
           trace(Host.Name + ' ' + std::string(Event));
       });
-  Host.Store = std::make_unique<platform::store_client>(
+  Host.Store = std::make_unique<serve::store_client>(
       [this, &Host](duration Delay, std::function<void()> Run) {
         post(Host, Delay, std::move(Run));
       },
--- a/tests/serve/simulated_settings.hpp
+++ b/tests/serve/simulated_settings.hpp
@@ -6,8 +6,8 @@
 /// written, and never go back. No host may claim to be more current than it is.
 #pragma once
 
-#include <platform/store_client.hpp>
 #include <serve/relay_table.hpp>
+#include <serve/store_client.hpp>
 #include <serve/store_gateway.hpp>
 
 #include <bronzespar/proxy/host.hpp>
@@ -130,7 +130,7 @@
   serve::relay_table Relays;
   proxy::host_pointer Host;
   std::unique_ptr<serve::store_gateway> Gateway;
-  std::unique_ptr<platform::store_client> Store;
+  std::unique_ptr<serve::store_client> Store;
 };
 
 struct simulated_settings {
--- a/tests/platform/store_client_tests.cpp
+++ b/tests/serve/store_client_tests.cpp
@@ -1,5 +1,5 @@
 /// Tests of the calls to the store.
-#include <platform/store_client.hpp>
+#include <serve/store_client.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -10,6 +10,7 @@
 
 using namespace bronzespar;
 using namespace bronzespar::platform;
+using namespace bronzespar::serve;
 
 constexpr unsigned StatusOk = 200;
 
--- a/tests/platform/watch_tests.cpp
+++ b/tests/serve/watch_tests.cpp
@@ -1,5 +1,5 @@
 /// Tests of a watch and of the peers that it serves.
-#include <platform/store_watch.hpp>
+#include <serve/store_watch.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -11,6 +11,7 @@
 
 using namespace bronzespar;
 using namespace bronzespar::platform;
+using namespace bronzespar::serve;
 
 constexpr unsigned StatusOk = 200;
 const instant Start = instant(1000s);
