--- a/src/serve/session_daemon.cpp
+++ b/src/serve/session_daemon.cpp
@@ -56,7 +56,7 @@
                   writeLog(Event, std::move(Fields));
                 }),
         Store(
-            platform::makeScheduler(Io), Gateway.makeChannels(), sink(),
+            makeScheduler(Io), Gateway.makeChannels(), sink(),
             [this](const std::string &Key, const std::string &Fault) {
               writeLog("store.unusable", {{"key", Key}, {"fault", Fault}});
             },
@@ -76,6 +76,7 @@
         [this](const platform::http_call &Call, platform::http_callback Done) {
           return Store.serveWatch(Call, std::move(Done));
         });
+    Gateway.setEraSink([this](std::uint64_t Era) { Store.enterEra(Era); });
     Store.setReceiptSink(
         [this](const proxy::watch_receipt &Receipt, std::uint64_t Version) {
           recordReceipt(Receipt, Version);
@@ -241,7 +242,7 @@
   target_links Targets;
   peer_links Peers;
   store_gateway Gateway;
-  platform::store_client Store;
+  store_client Store;
   text_server Readiness;
   text_server Metrics;
 };
