Decide what beliefs are worth after a restore of the store

Cause: the store may come back from a copy some seconds old; leases, records and revisions of before were taken for valid.

Change: leases and the role end with the era; hosts that had a right to use a primary confirm its record, others write back later generations, and the coordinator rebuilds what nobody confirms. The simulated fleet plays restores.

--- a/src/proxy/coordinator.cpp
+++ b/src/proxy/coordinator.cpp
@@ -86,6 +86,7 @@
     delayOrders(Step);
   Role.OrdersFrom =
       std::max(Role.HeldSince + MaxOrderDelay, Role.RevokedLeasesEnd);
+  Role.OrdersFrom = std::max(Role.OrdersFrom, earlierErasEnd(Step.State));
 }
 
 void takeRole(step_context &Step) {
@@ -191,6 +192,19 @@
     loseRole(Step);
 }
 
+void forgetCoordinator(step_context &Step) {
+  coordinator_state &Role = Step.State.Coordinator;
+  if (Role.IsHeld)
+    loseRole(Step);
+  coordinator_state Forgotten;
+  Forgotten.PreviousHolder =
+      Role.Holder.empty() ? Role.PreviousHolder : Role.Holder;
+  Forgotten.Revision = Role.Revision;
+  Forgotten.FencingToken = Role.FencingToken;
+  Forgotten.RevokedLeasesEnd = Role.RevokedLeasesEnd;
+  Role = std::move(Forgotten);
+}
+
 void returnCoordinatorRole(step_context &Step) {
   host &State = Step.State;
   coordinator_state &Role = State.Coordinator;
--- a/src/proxy/electors.cpp
+++ b/src/proxy/electors.cpp
@@ -123,7 +123,8 @@
   Request.Round = State.Votes.Number;
   for (auto &[Name, Group] : State.Groups) {
     Group.Voters.clear();
-    if (!Group.Record || !Group.Record->Open)
+    if (!Group.Record || !Group.Record->Open ||
+        !isConfirmed(State, *Group.Record))
       continue;
     Request.Generations[Name] = Group.Record->Generation;
     Electors.insert(Group.Record->Electors.begin(),
@@ -172,6 +173,7 @@
       group_state *Group = findIn(State.Groups, Name);
       if (Group == nullptr || !Group->Record || !Group->Record->Open ||
           isDisproved(*Group) || Group->Record->Generation != Generation ||
+          !isConfirmed(State, *Group->Record) ||
           !contains(Group->Record->Electors, State.Identity.Name))
         continue;
       Group->OwnVoteUntil = Step.Now + VoteLifetime;
@@ -229,7 +231,7 @@
 }
 
 bool haveExpiredHostsStopped(const host &State, instant Now) {
-  instant LastExpiry = State.StartedAt;
+  instant LastExpiry = std::max(State.StartedAt, State.Restore.KnownAt);
   for (const auto &[Name, Expired] : State.ExpiredHosts)
     LastExpiry = std::max(LastExpiry, Expired.ExpiredAt);
   return Now >= LastExpiry + MaxUseWithoutStore + VoteLifetime;
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -25,6 +25,7 @@
   superviseSamples(Step);
   superviseWitnesses(Step);
   superviseLease(Step);
+  superviseRestore(Step);
   superviseElectors(Step);
   superviseWorkAtPrimaries(Step);
   superviseCoordinatorRole(Step);
--- a/src/proxy/host_list.cpp
+++ b/src/proxy/host_list.cpp
@@ -147,6 +147,8 @@
     State.ReportingHosts.erase(Name);
   else
     State.ReportingHosts.insert(Name);
+  if (isOfPresentEra(State, Record.Revision))
+    State.Restore.Awaited.erase(Name);
   State.Hosts[Name] = {std::move(*Parsed), Record.Lease, Record.Revision};
 }
 
@@ -162,7 +164,7 @@
 void eraseHost(step_context &Step, const std::string &Name,
                std::uint64_t Revision) {
   host &State = Step.State;
-  if (Revision <= knownRevision(State, Name))
+  if (Revision <= knownRevision(State, Name) || isAwaited(State, Name))
     return;
   forgetOldRemovals(Step);
   State.HostRemovals[Name] = {Revision, Step.Now};
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -163,6 +163,32 @@
 
 // A store that came back from an older copy (restored_store.cpp).
 void storeRestored(step_context &Step, const events::store_restored &Event);
+/// \brief Whether a group's record holds in the present era of the store.
+[[nodiscard]] bool isConfirmed(const host &State, const group_record &Record);
+/// \brief Whether a right of an earlier era still allows the use of a group's
+/// primary.
+[[nodiscard]] bool mayUseSinceBefore(const group_state &Group, instant Now);
+/// \brief The record that replaces one which a restore may have made obsolete:
+/// closed, later than all that were written before, and with an order that may
+/// have been sent.
+[[nodiscard]] group_record rebuiltRecord(const host &State,
+                                         const group_record &Known);
+/// \brief When the hosts' rights, and orders, of earlier eras have ended.
+[[nodiscard]] instant earlierErasEnd(const host &State);
+/// \brief Whether enough hosts of the earlier era are back, so that no others
+/// can use a primary by votes under a record that the store has lost.
+[[nodiscard]] bool areMostHostsBack(const host &State);
+[[nodiscard]] bool isOfPresentEra(const host &State, std::uint64_t Revision);
+/// \brief Whether buckets go on refilling until this host is registered again.
+[[nodiscard]] bool keepsRefilling(const host &State, instant Now);
+/// \brief Whether a host's removal only shows that its lease of an earlier era
+/// is lost. \remarks The host is kept until it has had time to register.
+[[nodiscard]] bool isAwaited(const host &State, const std::string &Name);
+/// \brief Drops hosts that have not registered again in time, and brings the
+/// store's records up to what this host knows.
+void superviseRestore(step_context &Step);
+[[nodiscard]] bool restoreChangeEnded(step_context &Step,
+                                      const events::change_ended &Event);
 
 // Evacuation of data centres (evacuation.cpp).
 void evacuationsChanged(step_context &Step,
@@ -188,6 +214,8 @@
                                  instant Now);
 /// \brief Whether the lease is valid and the records were read under it.
 [[nodiscard]] bool hasValidLease(const host &State, instant Now);
+/// \brief Length of the leases that hosts ask for.
+[[nodiscard]] duration leaseLength(const host &State);
 void superviseLease(step_context &Step);
 /// \brief Gives up the lease with the registration and the read of records
 /// under it.
@@ -301,6 +329,8 @@
 [[nodiscard]] bool coordinatorRecordsRead(step_context &Step,
                                           const events::records_read &Event);
 void superviseCoordinatorRole(step_context &Step);
+/// \brief Gives up all that this host knows of the role: its key is lost.
+void forgetCoordinator(step_context &Step);
 /// \brief Removes the role's key, if this host owns it, so that another host
 /// can claim the role without waiting for the end of the lease.
 /// \remarks Waits while an order is under way, which its successor would not
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -154,6 +154,14 @@
   auto Parsed = parseGroupRecord(Record.Value);
   if (!Parsed || Record.Revision <= Group.Revision)
     return;
+  Group.Restored.IsMissing = false;
+  Group.Restored.Stored.reset();
+  // Only a restored store holds an earlier generation than was known.
+  if (Group.Record && Parsed->Generation < Group.Record->Generation) {
+    Group.Revision = Record.Revision;
+    Group.Restored.Stored = std::move(Parsed);
+    return;
+  }
   const bool NewPrimary =
       !Group.Record || Group.Record->Primary != Parsed->Primary;
   if (NewPrimary) {
@@ -180,6 +188,17 @@
   acknowledgeClosed(Step, Group);
 }
 
+/// Only a restored store lacks a group's record that it had.
+void groupRemoved(host &State, const std::string &Name,
+                  std::uint64_t Revision) {
+  group_state *Group = findIn(State.Groups, Name);
+  if (Group == nullptr || Revision <= Group->Revision)
+    return;
+  Group->Revision = Revision;
+  Group->Restored.IsMissing = true;
+  Group->Restored.Stored.reset();
+}
+
 void ownRecordChanged(step_context &Step, const store_record &Record) {
   noteOwnRecord(Step.State, Record.Revision, Record.Revision);
   hostChanged(Step, Step.State.Identity.Name, Record);
@@ -206,6 +225,10 @@
   Step.State.Coordinator.IsHeld = false;
 }
 
+duration leaseLength(const host &State) {
+  return std::max(LeaseLength, State.Identity.MinimumLease);
+}
+
 bool hasValidLease(const host &State, instant Now) {
   return State.Lease.Id != 0 && State.Lease.GroupsRead &&
          Now < State.Lease.ValidUntil;
@@ -216,7 +239,9 @@
   if (Found == State.Groups.end() || !Found->second.Record ||
       !Found->second.Record->Open || isDisproved(Found->second))
     return false;
-  return hasValidLease(State, Now) ||
+  return (hasValidLease(State, Now) &&
+          isConfirmed(State, *Found->second.Record)) ||
+         mayUseSinceBefore(Found->second, Now) ||
          hasElectorQuorum(State, Found->second, Now);
 }
 
@@ -231,12 +256,12 @@
     Step.Out.push_back(
         effects::read_records{Lease.GroupsCall, std::string(GroupsPrefix)});
   }
-  if (Lease.CallPending || Step.Now < Lease.NextCallAt)
+  if (Lease.CallPending || Step.Now < Lease.NextCallAt ||
+      Step.Now < Step.State.Restore.ReturnAt)
     return;
   Lease.CallPending = true;
   if (Lease.Id == 0)
-    Step.Out.push_back(effects::grant_lease{
-        std::max(LeaseLength, Step.State.Identity.MinimumLease)});
+    Step.Out.push_back(effects::grant_lease{leaseLength(Step.State)});
   else
     Step.Out.push_back(effects::renew_lease{Lease.Id});
 }
@@ -297,6 +322,9 @@
       ownRecordRemoved(Step, Event.Revision);
   } else if (Event.Key == CoordinatorKey) {
     coordinatorRemoved(Step, Event.Revision);
+  } else if (Event.Key.starts_with(GroupsPrefix)) {
+    groupRemoved(Step.State, Event.Key.substr(GroupsPrefix.size()),
+                 Event.Revision);
   }
 }
 
@@ -340,7 +368,7 @@
     registrationEnded(Step, Event);
     return;
   }
-  if (!coordinatorChangeEnded(Step, Event))
+  if (!coordinatorChangeEnded(Step, Event) && !restoreChangeEnded(Step, Event))
     (void)promotionChangeEnded(Step, Event);
 }
 
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -77,7 +77,8 @@
 
 void changeRecord(step_context &Step, const std::string &Name,
                   group_state &Group, std::uint64_t ExpectedRevision,
-                  const group_record &Record) {
+                  group_record Record) {
+  Record.Era = Step.State.StoreEra;
   Group.Promotion.ChangeCall = nextNumber(Step.State);
   effects::change_records Change;
   Change.Call = Group.Promotion.ChangeCall;
@@ -102,10 +103,13 @@
 void createRecord(step_context &Step, const std::string &Name,
                   group_state &Group) {
   const target_view *Primary = listedPrimary(Step.State, Name);
-  if (Primary == nullptr)
+  // Other hosts may know the record that a restored store lacks.
+  const bool MayBeKnown =
+      Step.State.Restore.IsSeen && Step.Now < earlierErasEnd(Step.State);
+  if (Primary == nullptr || MayBeKnown)
     return;
   changeRecord(
-      Step, Name, Group, Group.Revision,
+      Step, Name, Group, Group.Restored.IsMissing ? 0 : Group.Revision,
       {1, Primary->Entry.Id, true, chooseElectors(Step.State, Step.Now)});
 }
 
@@ -153,6 +157,8 @@
   Closed.Open = false;
   Closed.PrimaryStays = Group.Promotion.ReplacesElectors;
   Closed.LatestOrder = std::move(LatestOrder);
+  if (!isConfirmed(Step.State, *Group.Record))
+    Closed = rebuiltRecord(Step.State, *Group.Record);
   changeRecord(Step, Name, Group, Group.Revision, Closed);
 }
 
@@ -327,7 +333,8 @@
     AllStopped = false;
     instant &Since =
         Promotion.AwaitedSince.try_emplace(Host, Step.Now).first->second;
-    if (Step.Now < Since + AcknowledgeTimeout)
+    // A lease of an earlier era may be another host's by now.
+    if (isAwaited(Step.State, Host) || Step.Now < Since + AcknowledgeTimeout)
       continue;
     // The host may register again under another lease.
     Since = Step.Now;
@@ -336,8 +343,10 @@
   }
   if (!AllStopped || Step.Now < Step.State.Coordinator.OrdersFrom)
     return;
-  if (!haveElectorsAcknowledged(Step.State, Name) &&
-      !haveExpiredHostsStopped(Step.State, Step.Now))
+  const bool ElectorsStopped =
+      haveElectorsAcknowledged(Step.State, Name) &&
+      (!Group.Record->Rebuilt || areMostHostsBack(Step.State));
+  if (!ElectorsStopped && !haveExpiredHostsStopped(Step.State, Step.Now))
     return;
   if (Promotion.ReplacesElectors) {
     openRecord(Step, Name, Group, Group.Record->Primary);
@@ -519,6 +528,29 @@
   return End;
 }
 
+/// Whether hosts may still bring the store's record up to what they know.
+bool awaitsRestore(const step_context &Step, const group_state &Group) {
+  return Group.Restored.Stored || Group.Restored.IsMissing ||
+         Group.Restored.WriteCall != 0 ||
+         (!isConfirmed(Step.State, *Group.Record) &&
+          Step.Now < earlierErasEnd(Step.State));
+}
+
+/// Closes a record that no host has confirmed since the store was restored: an
+/// order that is not known may have been sent.
+void rebuildGroup(step_context &Step, const std::string &Name,
+                  group_state &Group) {
+  Group.OrderUnderWayUntil = std::max(
+      Group.OrderUnderWayUntil, Step.State.Restore.KnownAt + MaxPromotionTime);
+  Group.Promotion = {};
+  Group.Promotion.StartedAt = Step.Now;
+  logLine(Step, "primary.rebuilt",
+          {{"group", Name},
+           {"generation", std::to_string(Group.Record->Generation)},
+           {"primary", Group.Record->Primary}});
+  closeRecord(Step, Name, Group, named_order{});
+}
+
 /// Starts a change of the record if the group needs one.
 void considerGroup(step_context &Step, const std::string &Name,
                    group_state &Group) {
@@ -528,6 +560,12 @@
     createRecord(Step, Name, Group);
     return;
   }
+  if (awaitsRestore(Step, Group))
+    return;
+  if (!isConfirmed(Step.State, *Group.Record)) {
+    rebuildGroup(Step, Name, Group);
+    return;
+  }
   if (Group.Record->Open) {
     considerChange(Step, Name, Group);
     considerElectors(Step, Name, Group);
--- a/src/proxy/rates.cpp
+++ b/src/proxy/rates.cpp
@@ -33,6 +33,8 @@
 /// Whether this host's buckets may refill. While a host is isolated or not
 /// registered, the others divide its share.
 bool mayRefill(const host &State, instant Now) {
+  if (keepsRefilling(State, Now))
+    return true;
   return !State.Isolated && !State.Lease.RegisteredValue.empty() &&
          Now >= State.Lease.RegisteredAt + RefillDelay &&
          State.Hosts.contains(State.Identity.Name);
--- a/src/proxy/records.cpp
+++ b/src/proxy/records.cpp
@@ -98,6 +98,10 @@
     Object["term"] = Record.Term;
   if (!Record.Open && !Record.PrimaryStays)
     Object["order"] = toValue(Record.LatestOrder);
+  if (Record.Era > 0)
+    Object["era"] = Record.Era;
+  if (Record.Rebuilt)
+    Object["rebuilt"] = true;
   return json::serialize(Object);
 }
 
@@ -133,6 +137,9 @@
   if (const json::value *Stays = Object->if_contains("primary_stays"))
     Record.PrimaryStays = Stays->is_bool() && Stays->as_bool();
   Record.Term = toUnsigned(Object->if_contains("term")).value_or(0);
+  Record.Era = toUnsigned(Object->if_contains("era")).value_or(0);
+  if (const json::value *Rebuilt = Object->if_contains("rebuilt"))
+    Record.Rebuilt = Rebuilt->is_bool() && Rebuilt->as_bool();
   if (!Record.Open && !Record.PrimaryStays)
     Record.LatestOrder = latestOrderOf(*Object);
   if (const json::value *List = Object->if_contains("electors");
--- a/src/proxy/records.hpp
+++ b/src/proxy/records.hpp
@@ -41,6 +41,11 @@
   /// The latest order that may have been sent since the record was closed.
   /// None: there is none, so that the primary still leads.
   std::optional<named_order> LatestOrder = {};
+  /// Era of the store in which the record was written or confirmed; 0: written
+  /// by a host that knew of none.
+  std::uint64_t Era = 0;
+  /// Closed since a restore of the store may have lost changes of the record.
+  bool Rebuilt = false;
 };
 
 /// \brief A live host. The store removes the record when its lease ends.
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -243,6 +243,34 @@
   bool WasDraining = false;
 };
 
+/// \brief What a host knows of a group beside the record that a restored store
+/// holds; see restored_store.cpp.
+struct restored_group {
+  /// The store's record, where this host knows a later generation.
+  std::optional<group_record> Stored;
+  bool IsMissing = false; ///< The store has no record of the group.
+  /// Generation whose primary this host was allowed to use when it noticed the
+  /// restore, so that none replaced it; or 0.
+  std::uint64_t VouchedGeneration = 0;
+  /// A lease of an earlier era allows its use until then.
+  instant UseUntil{};
+  call_number WriteCall = 0; ///< Pending change of the store's record, or 0.
+  std::string WrittenValue;  ///< Value that the pending change writes.
+  instant NextWriteAt{};
+};
+
+/// \brief The latest restore of the store, as far as this host knows.
+struct restore_state {
+  instant KnownAt{};   ///< When this host learnt of the present era.
+  bool IsSeen = false; ///< This process knew an earlier era.
+  instant ReturnAt{};  ///< Earliest call for a lease of the present era.
+  /// Hosts that were listed as the restore was noticed.
+  std::size_t ListedBefore = 0;
+  /// Those that have not registered in the present era, by name.
+  std::set<std::string> Awaited;
+  std::set<std::string> Absent; ///< That were awaited for too long.
+};
+
 /// \brief This host's view of a group, and the group's promotion.
 struct group_state {
   std::optional<group_record> Record;
@@ -277,6 +305,7 @@
   /// When the record's electors last needed no replacement.
   instant ElectorsSufficedAt{};
   instant NextElectorCheckAt{};
+  restored_group Restored;
 };
 
 struct lease_state {
@@ -420,6 +449,7 @@
   bool StoreReached = false;
   /// Era of the store that this host knows; see restored_store.cpp.
   std::uint64_t StoreEra = 0;
+  restore_state Restore;
   std::set<std::string> EvacuatedDataCentres; ///< See evacuation.cpp.
   /// Absent targets are kept until then, as expired entries may come back.
   instant KeepAbsentUntil{};
--- a/tests/proxy/simulated_fleet.cpp
+++ b/tests/proxy/simulated_fleet.cpp
@@ -24,8 +24,9 @@
 }
 
 simulated_fleet::simulated_fleet(unsigned Seed, std::size_t HostCount,
-                                 proxy_settings InForce)
-    : Random(Seed), Settings(std::move(InForce)) {
+                                 proxy_settings InForce, std::uint64_t StoreEra)
+    : Random(Seed), Settings(std::move(InForce)), Era(StoreEra),
+      Revision((StoreEra << RevisionBits) + 10) {
   for (std::size_t Index = 1; Index <= HostCount; ++Index)
     startHost("host-" + std::to_string(Index));
 }
@@ -144,6 +145,7 @@
     runScheduled(Next);
     Now = Next;
     endLeases();
+    keepCopy();
     for (auto &[Name, Simulated] : Hosts)
       if (Now >= Simulated.SuspendedUntil)
         send(Name, events::tick{}, "tick");
@@ -161,6 +163,10 @@
 
 void simulated_fleet::deliver(const std::string &Name, event Event) {
   simulated_host &Simulated = Hosts.at(Name);
+  if (const std::uint64_t Shown = eraOf(Event);
+      Shown > Simulated.Host->StoreEra)
+    step(*Simulated.Host, events::store_restored{Shown}, Now,
+         Simulated.Effects);
   step(*Simulated.Host, std::move(Event), Now, Simulated.Effects);
   effect_list Effects;
   Effects.swap(Simulated.Effects);
--- a/tests/proxy/simulated_fleet.hpp
+++ b/tests/proxy/simulated_fleet.hpp
@@ -26,6 +26,13 @@
 /// \brief Settings of a fleet whose targets have no connection owners.
 [[nodiscard]] proxy_settings fleetSettings();
 
+/// Revisions of an era begin at the era, shifted by this.
+inline constexpr unsigned RevisionBits = 40;
+/// Leases' numbers begin after this in each era of the store.
+inline constexpr std::uint64_t FirstLease = 100;
+/// A copy that the store comes back from is at most this old.
+inline constexpr duration MaxCopyAge = 10s;
+
 /// \brief Shares of the store's calls that do not go well.
 struct store_faults {
   double Lost = 0;        ///< Made, without an answer.
@@ -46,6 +53,12 @@
 enum class order_fate { CarriedOut, Unheard, Lost, Rejected, NotRunning };
 BOOST_DESCRIBE_ENUM(order_fate, CarriedOut, Unheard, Lost, Rejected, NotRunning)
 
+/// \brief What the store holds at a time.
+struct store_copy {
+  std::map<std::string, store_record> Records;
+  std::uint64_t Revision = 0;
+};
+
 struct simulated_host {
   host_pointer Host;
   effect_list Effects;
@@ -61,7 +74,8 @@
 
 struct simulated_fleet {
   explicit simulated_fleet(unsigned Seed, std::size_t Hosts,
-                           proxy_settings Settings = fleetSettings());
+                           proxy_settings Settings = fleetSettings(),
+                           std::uint64_t StoreEra = 0);
 
   instant Now = instant(1000s);
   std::mt19937 Random;
@@ -71,8 +85,11 @@
   simulated_network Network;
   std::map<std::string, simulated_host> Hosts;
   std::map<std::string, store_record> Records;
+  std::uint64_t Era = 0; ///< Of the store; 0: its answers show none.
   std::uint64_t Revision = 10;
-  std::uint64_t LastLease = 100;
+  std::uint64_t LastLease = FirstLease;
+  std::map<instant, store_copy> Copies; ///< Of the store, by their time.
+  std::size_t Restores = 0;
   unsigned LastProcess = 0;
   std::map<std::uint64_t, instant> Leases; ///< By id, until when they last.
   std::multimap<instant, std::function<void()>> Scheduled;
@@ -133,6 +150,9 @@
   void advanceTime(duration Span);
   /// \brief Lets the store answer no call for a time.
   void interruptStore(duration Span, bool LeasesPauseMeanwhile);
+  /// \brief Takes the store away for a time, and lets it come back from a copy.
+  /// \param Age Of the copy, when the store goes away.
+  void restoreStore(duration Age, duration Away);
   /// \brief Whether the group's record is open for its primary.
   [[nodiscard]] bool isServing() const;
   /// \brief Notes a broken rule.
@@ -185,6 +205,10 @@
   void write(const store_write &Write, std::uint64_t Lease);
   void erase(const std::string &Key);
   void endLeases();
+  void keepCopy();
+  void loadCopy(instant Time);
+  /// \returns The era that an event from the store shows, or 0.
+  [[nodiscard]] static std::uint64_t eraOf(const event &Event);
   void checkRules();
   void carryOut(const std::string &Name, const effects::probe_target &Probe);
   [[nodiscard]] std::optional<target_status>
--- a/tests/proxy/simulated_reads.cpp
+++ b/tests/proxy/simulated_reads.cpp
@@ -80,8 +80,9 @@
 
 simulated_reads::simulated_reads(unsigned Seed, std::size_t Hosts,
                                  std::size_t CallerCount, bool Owned,
-                                 unsigned ConfirmingReplicas)
-    : Fleet(Seed, Hosts, readSettings(Owned, ConfirmingReplicas)),
+                                 unsigned ConfirmingReplicas,
+                                 std::uint64_t StoreEra)
+    : Fleet(Seed, Hosts, readSettings(Owned, ConfirmingReplicas), StoreEra),
       Targets(Fleet) {
   Targets.ConfirmedByReplica = ConfirmingReplicas > 0;
   Targets.OnRead = [this](const std::string &Id, const std::string &Target) {
--- a/tests/proxy/simulated_reads.hpp
+++ b/tests/proxy/simulated_reads.hpp
@@ -56,7 +56,8 @@
   std::map<std::string, unsigned> LinkLosses;  ///< By pair of hosts.
 
   simulated_reads(unsigned Seed, std::size_t Hosts, std::size_t CallerCount,
-                  bool Owned, unsigned ConfirmingReplicas);
+                  bool Owned, unsigned ConfirmingReplicas,
+                  std::uint64_t StoreEra = 0);
   simulated_reads(const simulated_reads &) = delete;
   simulated_reads &operator=(const simulated_reads &) = delete;
   void advanceTime(duration Span);
--- a/tests/proxy/simulated_runs.cpp
+++ b/tests/proxy/simulated_runs.cpp
@@ -96,7 +96,8 @@
 
 void runFleet(unsigned Seed, const run_plan &Plan, run_totals &Totals) {
   INFO("seed " << Seed);
-  simulated_reads Reads(Seed, HostCount, CallerCount, Plan.Owned, Seed % 2);
+  simulated_reads Reads(Seed, HostCount, CallerCount, Plan.Owned, Seed % 2,
+                        Plan.StoreEra);
   Reads.advanceTime(4s);
   Reads.Fleet.Faults = {0.03, 0.03, 0.03};
   Reads.Fleet.SlowOrders = 0.2;
@@ -106,6 +107,8 @@
   if (Plan.Prepare)
     Plan.Prepare(Reads);
   runTrouble(Reads, Plan);
+  if (Plan.Finish)
+    Plan.Finish(Reads);
   for (const std::string &Violation : Reads.Fleet.Violations)
     UNSCOPED_INFO(Violation);
   CHECK(Reads.Fleet.Violations.empty());
@@ -114,6 +117,7 @@
   Totals.Orders += Reads.Fleet.Orders;
   Totals.UnansweredOrders += Reads.Fleet.UnansweredOrders;
   Totals.Cuts += Reads.Fleet.Network.Cuts;
+  Totals.Restores += Reads.Fleet.Restores;
   Totals.Promotions += Reads.Fleet.Promotions;
   Totals.Reads += Reads.Targets.Reads;
   Totals.ReplicaReads += Reads.Targets.ReplicaReads;
--- a/tests/proxy/simulated_runs.hpp
+++ b/tests/proxy/simulated_runs.hpp
@@ -18,6 +18,9 @@
   std::function<void(simulated_reads &)> Prepare;
   /// Called each second, after the disturbances that all runs have.
   std::function<void(simulated_reads &)> Disturb;
+  /// Called after the disturbances.
+  std::function<void(simulated_reads &)> Finish;
+  std::uint64_t StoreEra = 0; ///< Of the store in the beginning; 0: none.
 };
 
 struct run_totals {
@@ -25,6 +28,7 @@
   std::size_t UnansweredOrders = 0;
   std::size_t Promotions = 0;
   std::size_t Cuts = 0;
+  std::size_t Restores = 0;
   std::size_t Reads = 0;
   std::size_t ReplicaReads = 0;
   std::size_t Commits = 0;
--- a/tests/proxy/simulated_store.cpp
+++ b/tests/proxy/simulated_store.cpp
@@ -22,7 +22,10 @@
   if (Network.toStore(Name).losesCalls(Now))
     return;
   const duration Delay = draw() < Faults.Late ? drawDelay() : duration(0);
-  Scheduled.emplace(Now + Delay, [this, Lease] { Leases.erase(Lease); });
+  Scheduled.emplace(Now + Delay, [this, Lease, CallEra = Era] {
+    if (Era == CallEra)
+      Leases.erase(Lease);
+  });
 }
 
 void simulated_fleet::renew(const std::string &Name, std::uint64_t Lease,
@@ -48,7 +51,9 @@
   const bool IsSlow = SlowAnswers > 0 && draw() < SlowAnswers;
   const duration Delay =
       IsSlow ? drawSpan(FleetTick, MaxAnswerTime) : FleetTick;
-  answer(Name, Delay, [Lease, Lasts, SentAt = Now] {
+  answer(Name, Delay, [this, Name, Lease, Lasts, SentAt = Now, Shown = Era] {
+    if (Shown != 0)
+      send(Name, events::store_restored{Shown});
     return events::lease_answered{Lasts ? Lease : 0, LeaseLength, SentAt, true};
   });
 }
@@ -69,8 +74,11 @@
   } else if (Luck < Faults.Rejected) {
     Answer(FleetTick, change_outcome::Rejected, 0);
   } else if (Luck < Faults.Rejected + Faults.Late) {
-    Scheduled.emplace(Now + drawDelay(),
-                      [this, Change] { (void)apply(Change); });
+    Scheduled.emplace(Now + drawDelay(), [this, Change, CallEra = Era] {
+      // Calls under way are lost with the store.
+      if (Era == CallEra)
+        (void)apply(Change);
+    });
     Answer(StoreCallTimeout, change_outcome::Unknown, 0);
   } else {
     const change_outcome Outcome = apply(Change);
@@ -133,6 +141,62 @@
   }
 }
 
+void simulated_fleet::keepCopy() {
+  if (Era == 0 || isStoreDown())
+    return;
+  if (Copies.empty() || Copies.rbegin()->second.Revision != Revision)
+    Copies[Now] = {Records, Revision};
+  // The last one before the oldest that may be asked for is still needed.
+  while (Copies.size() > 1 &&
+         std::next(Copies.begin())->first < Now - MaxCopyAge)
+    Copies.erase(Copies.begin());
+}
+
+void simulated_fleet::restoreStore(duration Age, duration Away) {
+  interruptStore(Away, false);
+  Scheduled.emplace(Now + Away, [this, Time = Now - Age] { loadCopy(Time); });
+}
+
+void simulated_fleet::loadCopy(instant Time) {
+  constexpr std::uint64_t OwnBits = (std::uint64_t(1) << RevisionBits) - 1;
+  auto After = Copies.upper_bound(Time);
+  if (After != Copies.begin())
+    --After;
+  const store_copy Copy = After->second;
+  std::map<std::string, store_record> Lost;
+  Lost.swap(Records);
+  Restores += 1;
+  Era += 1;
+  Leases.clear();
+  LastLease = FirstLease;
+  Revision = (Era << RevisionBits) + (Copy.Revision & OwnBits);
+  // Records that are bound to a lease are lost with it.
+  for (const auto &[Key, Record] : Copy.Records) {
+    if (Record.Lease != 0)
+      continue;
+    store_record &Restored = Records[Key] = Record;
+    Restored.Revision = (Era << RevisionBits) + (Record.Revision & OwnBits);
+    Lost.erase(Key);
+    broadcast(events::record_changed{Restored});
+  }
+  for (const auto &[Key, Record] : Lost)
+    broadcast(events::record_removed{Key, Revision});
+  Copies[Now] = {Records, Revision};
+}
+
+std::uint64_t simulated_fleet::eraOf(const event &Event) {
+  std::uint64_t Shown = 0;
+  if (const auto *Changed = std::get_if<events::record_changed>(&Event))
+    Shown = Changed->Record.Revision;
+  else if (const auto *Removed = std::get_if<events::record_removed>(&Event))
+    Shown = Removed->Revision;
+  else if (const auto *Read = std::get_if<events::records_read>(&Event))
+    Shown = Read->Answered ? Read->Revision : 0;
+  else if (const auto *Ended = std::get_if<events::change_ended>(&Event))
+    Shown = Ended->Outcome == change_outcome::Unknown ? 0 : Ended->Revision;
+  return Shown >> RevisionBits;
+}
+
 void simulated_fleet::carryOut(const std::string &Name,
                                const effects::read_records &Read) {
   events::records_read Event{Read.Call, Read.Prefix, {}, true, Revision};
