--- a/src/proxy/coordinator.cpp
+++ b/src/proxy/coordinator.cpp
@@ -143,7 +143,11 @@
 }
 
 void hostLeaseEnded(step_context &Step, const listed_peer &Peer) {
-  if (Peer.Record.Revoked)
+  // A coordinator of an earlier era may have revoked an id that was given out
+  // again.
+  const bool MayBeRevoked =
+      Step.State.Restore.IsSeen && Step.Now <= earlierErasEnd(Step.State);
+  if (Peer.Record.Revoked || MayBeRevoked)
     delayOrders(Step);
 }
 
--- a/src/proxy/host_list.cpp
+++ b/src/proxy/host_list.cpp
@@ -127,6 +127,8 @@
 void storeHost(step_context &Step, const std::string &Name,
                const store_record &Record) {
   host &State = Step.State;
+  if (!isOfPresentEra(State, Record.Revision))
+    return;
   auto Parsed = parseHostRecord(Record.Value);
   if (!Parsed) {
     logLine(Step, "host.unusable", {{"host", Name}, {"value", Record.Value}});
@@ -147,8 +149,7 @@
     State.ReportingHosts.erase(Name);
   else
     State.ReportingHosts.insert(Name);
-  if (isOfPresentEra(State, Record.Revision))
-    State.Restore.Awaited.erase(Name);
+  noteReturn(State, Name);
   State.Hosts[Name] = {std::move(*Parsed), Record.Lease, Record.Revision};
 }
 
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -178,7 +178,11 @@
 /// \brief Whether enough hosts of the earlier era are back, so that no others
 /// can use a primary by votes under a record that the store has lost.
 [[nodiscard]] bool areMostHostsBack(const host &State);
+/// \brief Whether a revision is of the present era. Records that are bound to
+/// leases of earlier ones are void.
 [[nodiscard]] bool isOfPresentEra(const host &State, std::uint64_t Revision);
+/// \brief Notes that a host has registered in the present era.
+void noteReturn(host &State, const std::string &Name);
 /// \brief Whether buckets go on refilling until this host is registered again.
 [[nodiscard]] bool keepsRefilling(const host &State, instant Now);
 /// \brief Whether a host's removal only shows that its lease of an earlier era
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -307,6 +307,8 @@
   const std::string_view Key = Record.Key;
   if (Key.starts_with(GroupsPrefix))
     groupChanged(Step, std::string(Key.substr(GroupsPrefix.size())), Record);
+  else if (!isOfPresentEra(Step.State, Record.Revision))
+    return;
   else if (Key == ownKey(Step.State))
     ownRecordChanged(Step, Record);
   else if (Key.starts_with(HostsPrefix))
--- a/src/proxy/restored_store.cpp
+++ b/src/proxy/restored_store.cpp
@@ -75,11 +75,12 @@
 
 void awaitHosts(step_context &Step) {
   host &State = Step.State;
-  State.Restore.Awaited.clear();
-  State.Restore.Absent.clear();
+  restore_state &Restore = State.Restore;
+  // Those that an earlier restore left behind may still be there.
+  Restore.Awaited.merge(std::exchange(Restore.Absent, {}));
   for (const auto &[Name, Peer] : State.Hosts)
-    State.Restore.Awaited.insert(Name);
-  State.Restore.ListedBefore = State.Hosts.size();
+    Restore.Awaited.insert(Name);
+  Restore.ListedBefore = Restore.Awaited.size();
 }
 
 void dropAwaitedHosts(step_context &Step) {
@@ -176,6 +177,9 @@
   State.StoreEra = Event.Era;
   State.Restore.KnownAt = Step.Now;
   State.Restore.IsSeen = State.Restore.IsSeen || IsRestore;
+  // Targets' entries that the copy lacks are written again by their writers.
+  State.KeepAbsentUntil =
+      std::max(State.KeepAbsentUntil, earlierErasEnd(State));
 }
 
 bool isConfirmed(const host &State, const group_record &Record) {
@@ -209,8 +213,8 @@
 
 bool areMostHostsBack(const host &State) {
   const restore_state &Restore = State.Restore;
-  return Restore.IsSeen && (Restore.ListedBefore - Restore.Awaited.size()) * 2 >
-                               Restore.ListedBefore;
+  const std::size_t Missing = Restore.Awaited.size() + Restore.Absent.size();
+  return Restore.IsSeen && Missing * 2 < Restore.ListedBefore;
 }
 
 bool isOfPresentEra(const host &State, std::uint64_t Revision) {
@@ -222,6 +226,11 @@
          Now < State.Restore.KnownAt + ShareKeptPeriod;
 }
 
+void noteReturn(host &State, const std::string &Name) {
+  State.Restore.Awaited.erase(Name);
+  State.Restore.Absent.erase(Name);
+}
+
 bool isAwaited(const host &State, const std::string &Name) {
   return State.Restore.Awaited.contains(Name);
 }
