--- a/src/proxy/restored_store.cpp
+++ b/src/proxy/restored_store.cpp
@@ -68,6 +68,7 @@
   const bool IsPending = State.Lease.CallPending;
   loseLease(Step);
   State.Lease.PendingCallIsObsolete = IsPending;
+  State.Lease.NextCallAt = Step.Now;
   State.Restore.ReturnAt =
       Step.Now + ownDelay(State, ReturnSpacing, MaxReturnSpread);
   State.OwnRecord.Revision = 0;
