--- a/src/proxy/host_list.cpp
+++ b/src/proxy/host_list.cpp
@@ -127,6 +127,8 @@
 void storeHost(step_context &Step, const std::string &Name,
                const store_record &Record) {
   host &State = Step.State;
+  if (!isOfPresentEra(State, Record.Revision))
+    return;
   auto Parsed = parseHostRecord(Record.Value);
   if (!Parsed) {
     logLine(Step, "host.unusable", {{"host", Name}, {"value", Record.Value}});
@@ -147,6 +149,7 @@
     State.ReportingHosts.erase(Name);
   else
     State.ReportingHosts.insert(Name);
+  noteReturn(State, Name);
   State.Hosts[Name] = {std::move(*Parsed), Record.Lease, Record.Revision};
 }
 
@@ -162,7 +165,7 @@
 void eraseHost(step_context &Step, const std::string &Name,
                std::uint64_t Revision) {
   host &State = Step.State;
-  if (Revision <= knownRevision(State, Name))
+  if (Revision <= knownRevision(State, Name) || isAwaited(State, Name))
     return;
   forgetOldRemovals(Step);
   State.HostRemovals[Name] = {Revision, Step.Now};
