Evacuate data centres at the operators' request

Cause: the operators may ask that nothing more be sent to the targets of a data centre. The watch of their keys delivered these, and nobody read them.

Change: each host stops reading there at its notice and stops all use by a time of its own before the bound. The coordinator replaces the primaries there by planned changes, elsewhere, and by no replica that lacks commits.

Result: syntax checked only; not built, tests not run.

--- a/include/bronzespar/proxy/host.hpp
+++ b/include/bronzespar/proxy/host.hpp
@@ -18,6 +18,9 @@
   duration GracePeriod = std::chrono::seconds(6);
   /// A draining target gets no new statements after this period.
   duration DrainPeriod = std::chrono::seconds(7);
+  /// Targets of an evacuated data centre get no statements after this period,
+  /// counted from the confirmation of the evacuation.
+  duration EvacuationPeriod = std::chrono::seconds(5);
 };
 
 struct host;
--- a/include/bronzespar/proxy/interface.hpp
+++ b/include/bronzespar/proxy/interface.hpp
@@ -187,6 +187,8 @@
 /// \brief The data centres that operators want evacuated now.
 struct evacuations_changed {
   std::set<std::string> DataCentres;
+  /// The change was confirmed no longer ago than this.
+  duration MaxAge = duration::max();
 };
 struct record_changed {
   store_record Record;
--- a/src/proxy/candidates.cpp
+++ b/src/proxy/candidates.cpp
@@ -80,9 +80,11 @@
   return Covered;
 }
 
-bool isDraining(const host &State, const std::string &Id) {
-  const auto Target = State.Targets.find(Id);
-  return Target == State.Targets.end() || Target->second.Entry.Draining;
+/// Whether a target has to be replaced soon if it becomes primary.
+bool isTransient(const host &State, const std::string &Id) {
+  const target_view *Target = findIn(State.Targets, Id);
+  return Target == nullptr || Target->Entry.Draining ||
+         isEvacuated(State, Target->Entry);
 }
 
 /// The latest term in which a target is known to lead. The answers do not show
@@ -118,14 +120,14 @@
         !State.Targets.contains(Entry.first) ||
         Group.Promotion.RefusedCandidates.contains(Entry.first) ||
         isFormerPrimary(Group, Entry.second) ||
-        (Group.Promotion.Planned && isDraining(State, Entry.first)))
+        (Group.Promotion.Planned && isTransient(State, Entry.first)))
       continue;
-    // After the loss of a primary, a draining replica is the better one if the
-    // others lack commits, although it has to be replaced soon.
+    // After the loss of a primary, a draining or evacuated replica is the
+    // better one if the others lack commits, although it has to be replaced.
     const bool IsBetter =
         Best == nullptr || Entry.second.Received > Best->second.Received ||
         (Entry.second.Received == Best->second.Received &&
-         isDraining(State, Best->first) && !isDraining(State, Entry.first));
+         isTransient(State, Best->first) && !isTransient(State, Entry.first));
     if (IsBetter)
       Best = &Entry;
   }
--- a/src/proxy/connections.cpp
+++ b/src/proxy/connections.cpp
@@ -192,7 +192,8 @@
   target_request *Request = findIn(Step.State.Requests, Connection.Request);
   const bool HasCaller = Request != nullptr && Request->Session != 0;
   if (Connection.SetupError == answer_code::Complete &&
-      !mayContinueAtPrimary(Step.State, Connection, Step.Now)) {
+      (!mayContinueAtPrimary(Step.State, Connection, Step.Now) ||
+       isUseOver(Step.State, Connection.Target, Step.Now))) {
     // The connection is closed, which ends what its setup began.
     Connection.SetupError = answer_code::ReadOnly;
     Connection.SetupIncomplete = true;
@@ -304,10 +305,22 @@
          Now > Connection.SentAt + AbandonedAnswerTimeout;
 }
 
+/// Whether an evacuation leaves no use for a target's connections. A primary is
+/// used until its replacement begins.
+bool isUnusedByEvacuation(const host &State, const target_view &Target,
+                          instant Now) {
+  if (!isEvacuated(State, Target.Entry))
+    return false;
+  const group_state *Group = findIn(State.Groups, Target.Entry.Group);
+  return isUseOver(State, Target.Entry, Now) || Group == nullptr ||
+         !Group->Record || Group->Record->Primary != Target.Entry.Id;
+}
+
 /// Whether an idle connection is closed now.
 bool shouldCloseIdle(host &State, const target_view *Target,
                      const target_connection &Connection, instant Now) {
-  if (Target == nullptr || !Target->Listed || Target->Entry.Draining)
+  if (Target == nullptr || !Target->Listed || Target->Entry.Draining ||
+      isUnusedByEvacuation(State, *Target, Now))
     return true;
   const auto Rank = ownerRank(State, Connection.Target);
   if (areConnectionsOwned(State, Connection.Group) && Rank != std::size_t{0})
@@ -432,7 +445,8 @@
 }
 
 void rollBackOnTarget(step_context &Step, target_connection &Connection) {
-  if (Connection.Owner) {
+  // Nothing is sent to an evacuated target, ROLLBACK neither.
+  if (Connection.Owner || isUseOver(Step.State, Connection.Target, Step.Now)) {
     closeConnection(Step, Connection.Number);
     return;
   }
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -27,6 +27,7 @@
   superviseLease(Step);
   superviseElectors(Step);
   superviseWorkAtPrimaries(Step);
+  superviseEvacuations(Step);
   superviseCoordinatorRole(Step);
   supervisePromotions(Step);
   dropAbsentTargets(Step);
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -167,6 +167,28 @@
 // Evacuation of data centres (evacuation.cpp).
 void evacuationsChanged(step_context &Step,
                         events::evacuations_changed &&Event);
+/// \brief Whether a target stands in an evacuated data centre.
+[[nodiscard]] bool isEvacuated(const host &State, const target_entry &Entry);
+[[nodiscard]] bool isEvacuated(const host &State, const std::string &Target);
+/// \brief Whether nothing may be sent to a target any more, because its data
+/// centre is evacuated.
+[[nodiscard]] bool isUseOver(const host &State, const target_entry &Entry,
+                             instant Now);
+[[nodiscard]] bool isUseOver(const host &State, const std::string &Target,
+                             instant Now);
+/// \brief Whether a planned change may make a target its group's primary.
+[[nodiscard]] bool mayBecomePrimary(const host &State,
+                                    const target_view &Target);
+/// \brief Until when the use of a group's primary is expected to be possible
+/// again, if it is not because of an evacuation.
+/// \returns instant::max() when no target elsewhere can replace it, or none
+/// has in time.
+[[nodiscard]] std::optional<instant>
+expectedEndOfMove(const host &State, const std::string &Name,
+                  const group_state &Group, duration UsualChange, instant Now);
+/// \brief Ends the transactions and dials at targets that may not be used any
+/// more, and logs when nothing is left in an evacuated data centre.
+void superviseEvacuations(step_context &Step);
 
 // The list of hosts (host_list.cpp).
 /// \brief Hosts that are not stopping, by data centre.
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -153,7 +153,8 @@
                         std::vector<candidate> &Candidates) {
   target_view *Target = findIn(Step.State.Targets, Request.ForwardedTarget);
   if (Target == nullptr || !Target->Listed ||
-      isDrainOver(Step.State, *Target, Step.Now))
+      isDrainOver(Step.State, *Target, Step.Now) ||
+      isUseOver(Step.State, Target->Entry, Step.Now))
     return;
   if (Request.NeedsPrimary) {
     if (Group.Record->Primary == Request.ForwardedTarget && MayUsePrimary)
@@ -163,7 +164,8 @@
   }
   noteReplicaRead(Step, Request.Route.Group);
   const auto Required = requiredReadPosition(Step.State, Request, Step.Now);
-  if (Required && !Target->Entry.Draining)
+  if (Required && !Target->Entry.Draining &&
+      !isEvacuated(Step.State, Target->Entry))
     Candidates.push_back({Target, true, Required});
 }
 
@@ -178,7 +180,7 @@
 void addReplica(step_context &Step, const target_request &Request,
                 target_view &Target, bool IsForwarded,
                 std::vector<candidate> &Candidates) {
-  if (Target.Entry.Draining ||
+  if (Target.Entry.Draining || isEvacuated(Step.State, Target.Entry) ||
       Request.ExcludedTargets.contains(Target.Entry.Id))
     return;
   if (!IsForwarded)
@@ -191,6 +193,15 @@
   Candidates.push_back({&Target, true, Required});
 }
 
+/// Keeps an evacuated primary for requests that no other target can run.
+void avoidEvacuated(const host &State, std::vector<candidate> &Candidates) {
+  const auto IsEvacuated = [&](const candidate &Candidate) {
+    return isEvacuated(State, Candidate.Target->Entry);
+  };
+  if (!std::all_of(Candidates.begin(), Candidates.end(), IsEvacuated))
+    std::erase_if(Candidates, IsEvacuated);
+}
+
 /// Targets that may run the request now.
 std::vector<candidate> candidatesFor(step_context &Step,
                                      const target_request &Request) {
@@ -208,7 +219,8 @@
   const bool MayReadReplica = mayReadReplica(State, Request, Step.Now);
   for (auto &[Id, Target] : State.Targets) {
     if (Target.Entry.Group != Request.Route.Group || !Target.Listed ||
-        isDrainOver(State, Target, Step.Now))
+        isDrainOver(State, Target, Step.Now) ||
+        isUseOver(State, Target.Entry, Step.Now))
       continue;
     const owner_kind Owner = chooseOwner(State, Target, Step.Now).Kind;
     if (Owner == owner_kind::None)
@@ -225,6 +237,7 @@
       addReplica(Step, Request, Target, Owner == owner_kind::Peer, Candidates);
     }
   }
+  avoidEvacuated(State, Candidates);
   return Candidates;
 }
 
@@ -263,6 +276,36 @@
   return Option;
 }
 
+/// Whether a replica may answer a request's read once it has caught up.
+bool mayWaitForReplica(const host &State, const target_request &Request,
+                       instant Now) {
+  return mayReadReplica(State, Request, Now) &&
+         requiredReadPosition(State, Request, Now) &&
+         std::any_of(State.Targets.begin(), State.Targets.end(),
+                     [&](const auto &Entry) {
+                       const target_view &Target = Entry.second;
+                       return Target.Entry.Group == Request.Route.Group &&
+                              mayBecomePrimary(State, Target);
+                     });
+}
+
+/// Cause to refuse a request whose primary may not be used because of an
+/// evacuation, if it cannot be served in its time.
+std::optional<std::string> refusalByEvacuation(const host &State,
+                                               const target_request &Request,
+                                               instant ExpectedEnd,
+                                               instant Now) {
+  if (mayWaitForReplica(State, Request, Now))
+    return std::nullopt;
+  if (ExpectedEnd == instant::max())
+    return "the data centre of its targets is evacuated; " +
+           retryAfterText(State.Identity.EvacuationPeriod);
+  if (Request.Deadline < ExpectedEnd + PrimaryAnnouncementDelay)
+    return "its primary moves to another data centre; " +
+           retryAfterText(ExpectedEnd + PrimaryAnnouncementDelay - Now);
+  return std::nullopt;
+}
+
 /// Checks whether a request without candidates can be served in its time.
 /// \returns The cause to refuse it now, or nothing when it should wait.
 std::optional<std::string> refusalCause(step_context &Step,
@@ -279,6 +322,9 @@
       return "its primary is being replaced";
     return std::nullopt;
   }
+  if (const auto End = expectedEndOfMove(State, Request.Route.Group, Group,
+                                         UsualFailoverDuration, Step.Now))
+    return refusalByEvacuation(State, Request, *End, Step.Now);
   if (Group.PrimaryUnreachable)
     return "its primary is not reached";
   if (!mayUsePrimary(State, Request.Route.Group, Step.Now))
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -130,16 +130,17 @@
                                   Count.Witnesses * recentHosts(State, Now);
 }
 
-/// Whether there is a replica that may be promoted. A draining one does not
-/// help a primary that drains itself.
+/// Whether there is a replica that may be promoted. A planned change uses none
+/// that has to be replaced itself.
 bool replicaListed(const host &State, const std::string &Name,
                    const std::string &Primary, bool Planned) {
-  return std::any_of(
-      State.Targets.begin(), State.Targets.end(), [&](const auto &Entry) {
-        const target_view &Target = Entry.second;
-        return Target.Listed && Target.Entry.Group == Name &&
-               !(Planned && Target.Entry.Draining) && Entry.first != Primary;
-      });
+  return std::any_of(State.Targets.begin(), State.Targets.end(),
+                     [&](const auto &Entry) {
+                       const target_view &Target = Entry.second;
+                       return Target.Listed && Target.Entry.Group == Name &&
+                              !(Planned && !mayBecomePrimary(State, Target)) &&
+                              Entry.first != Primary;
+                     });
 }
 
 /// Writes the closed record. One that is closed already keeps its generation,
@@ -161,13 +162,14 @@
                     group_state &Group) {
   const target_view *Primary =
       findIn(Step.State.Targets, Group.Record->Primary);
-  const bool UnlistedOrDraining =
-      Primary == nullptr || !Primary->Listed || Primary->Entry.Draining;
+  const bool MustMove = Primary == nullptr || !Primary->Listed ||
+                        Primary->Entry.Draining ||
+                        isEvacuated(Step.State, Primary->Entry);
   const bool Disproved = isReportedDisproved(Step.State, Name, Group);
   const bool Unreachable =
       Disproved || isPrimaryUnreachable(Step.State, Name, Group, Step.Now);
   const bool Planned = !Unreachable && Primary != nullptr && Primary->Listed;
-  if ((!UnlistedOrDraining && !Unreachable) ||
+  if ((!MustMove && !Unreachable) ||
       (Planned && Step.Now < Group.NextPlannedChangeAt) ||
       (!Disproved &&
        !replicaListed(Step.State, Name, Group.Record->Primary, Planned)))
@@ -441,6 +443,21 @@
   }
 }
 
+/// Whether a change serves only the evacuation of a data centre: the primary
+/// there goes on with its log, so that no commit has to be lost.
+bool movesForEvacuation(const host &State, const group_state &Group) {
+  const target_view *Old = findIn(State.Targets, Group.Record->Primary);
+  return Group.Promotion.Planned && Old != nullptr && Old->Listed &&
+         !Old->Entry.Draining;
+}
+
+/// Begins another round of probes unless the latest has only just begun.
+void probeAgain(step_context &Step, const std::string &Name,
+                group_state &Group) {
+  if (Step.Now >= Group.Promotion.NextTryAt - ProbeTimeout + ProbeInterval)
+    probeMembers(Step, Name, Group);
+}
+
 void chooseReplica(step_context &Step, const std::string &Name,
                    group_state &Group) {
   promotion_state &Promotion = Group.Promotion;
@@ -469,6 +486,16 @@
   const auto Old = Promotion.Statuses.find(OldPrimary);
   const bool OldAnswers =
       Old != Promotion.Statuses.end() && Old->second.IsPrimary;
+  const bool IsMove = movesForEvacuation(Step.State, Group);
+  if (IsMove && !OldAnswers) {
+    if (Step.Now < Promotion.StageSince + CatchUpTimeout) {
+      probeAgain(Step, Name, Group);
+      return;
+    }
+    // The primary is lost: an evacuated replica may be the only one that has
+    // its commits.
+    Promotion.Planned = false;
+  }
   const auto *Best = bestReplica(Step.State, Group);
   const bool Behind = OldAnswers && Best != nullptr &&
                       Best->second.Received < Old->second.Received;
@@ -477,8 +504,11 @@
     return;
   }
   if (Behind && Step.Now < Promotion.StageSince + CatchUpTimeout) {
-    if (Step.Now >= Promotion.NextTryAt - ProbeTimeout + ProbeInterval)
-      probeMembers(Step, Name, Group);
+    probeAgain(Step, Name, Group);
+    return;
+  }
+  if (Behind && IsMove) {
+    awaitReplica(Step, Name, Group, CatchUpTimeout);
     return;
   }
   if (!holdsAcknowledgedCommits(Step.State, Name, Group, Best->second,
@@ -541,6 +571,7 @@
         std::max(Group.OrderUnderWayUntil,
                  Step.State.Coordinator.HeldSince + MaxPromotionTime);
   Group.Promotion = {};
+  Group.Promotion.Planned = isEvacuated(Step.State, Group.Record->Primary);
   Group.Promotion.ReplacesElectors = Group.Record->PrimaryStays;
   Group.Promotion.StartedAt = Step.Now;
   Group.Promotion.OrderNotBefore = revokedLeasesEnd(Step.State);
--- a/src/proxy/requests.cpp
+++ b/src/proxy/requests.cpp
@@ -209,6 +209,11 @@
       failInTransaction(Step, Stored, answer_code::Aborted,
                         "this host may no longer use the transaction's "
                         "primary");
+    else if (Connection != nullptr &&
+             isUseOver(State, Connection->Target, Step.Now))
+      failInTransaction(Step, Stored, answer_code::Aborted,
+                        "the data centre of the transaction's target is "
+                        "evacuated");
     else if (Connection != nullptr)
       continueTransaction(Step, *Connection, Stored);
     else
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -378,6 +378,13 @@
   std::map<std::string, std::vector<std::string>> Owners;
 };
 
+/// \brief The evacuation of a data centre; see evacuation.cpp.
+struct evacuation_state {
+  instant BegunAt{};   ///< When this host learnt of it.
+  instant UseEndsAt{}; ///< Primaries there are used until then at most.
+  bool IsOver = false; ///< This host has logged that nothing is left there.
+};
+
 struct host {
   host_identity Identity;
   std::optional<proxy_settings> Settings;
@@ -420,7 +427,7 @@
   bool StoreReached = false;
   /// Era of the store that this host knows; see restored_store.cpp.
   std::uint64_t StoreEra = 0;
-  std::set<std::string> EvacuatedDataCentres; ///< See evacuation.cpp.
+  std::map<std::string, evacuation_state> Evacuations; ///< By data centre.
   /// Absent targets are kept until then, as expired entries may come back.
   instant KeepAbsentUntil{};
   bool Ready = false;
--- a/src/serve/serve_settings.cpp
+++ b/src/serve/serve_settings.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/leaf/handle_errors.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace bronzespar::serve {
@@ -79,6 +80,19 @@
 
 duration secondsOf(double Number) { return millisecondsOf(Number * 1000); }
 
+/// An evacuation reaches a host as a version of the settings does, so that the
+/// shorter of the two deadlines holds for both.
+void setEvacuationPeriod(const std::vector<ini_section> &Sections,
+                         serve_settings &Settings) {
+  Settings.Identity.EvacuationPeriod =
+      millisecondsOf(numberOf(Sections, "bounds", "evacuate_ms"));
+  if (Settings.Identity.EvacuationPeriod < MinSettingsDeadline)
+    throw badValue(entryOf(Sections, "bounds", "evacuate_ms"),
+                   "at least 1000 ms");
+  Settings.SettingsDeadline =
+      std::min(Settings.SettingsDeadline, Settings.Identity.EvacuationPeriod);
+}
+
 serve_settings read(const std::vector<ini_section> &Sections) {
   serve_settings Settings;
   Settings.Identity.Name = entryOf(Sections, "host", "id").Value;
@@ -103,6 +117,8 @@
   if (Settings.SettingsDeadline < MinSettingsDeadline)
     throw badValue(entryOf(Sections, "bounds", "settings_ms"),
                    "at least 1000 ms");
+  if (isFilled(findIn(Sections, "bounds", "evacuate_ms")))
+    setEvacuationPeriod(Sections, Settings);
   return Settings;
 }
 
--- a/src/serve/serve_settings.hpp
+++ b/src/serve/serve_settings.hpp
@@ -19,7 +19,7 @@
   endpoint Metrics;
   endpoint Store;
   /// A version of the operators' document is in force this long after its
-  /// confirmation; the setting `settings_ms`.
+  /// confirmation; the setting `settings_ms`, or `evacuate_ms` if that is less.
   duration SettingsDeadline = proxy::DefaultSettingsDeadline;
   endpoint PromotionEndpoint; ///< Takes orders to promote; the setting `duty`.
 };
--- a/tests/serve/settings_tests.cpp
+++ b/tests/serve/settings_tests.cpp
@@ -59,6 +59,18 @@
   }
   CHECK_FALSE(parseServeSettings(ValidSettings + "settings_ms = 20\n", Fault));
   CHECK(Fault == "line 15: settings_ms is not at least 1000 ms");
+  CHECK(Settings->Identity.EvacuationPeriod == 5s);
+  const auto Evacuating = parseServeSettings(
+      ValidSettings + "settings_ms = 5000\nevacuate_ms = 4000\n", Fault);
+  REQUIRE(Evacuating);
+  CHECK(Evacuating->Identity.EvacuationPeriod == 4s);
+  CHECK(Evacuating->SettingsDeadline == 4s);
+  const auto Unfilled = parseServeSettings(
+      ValidSettings + "evacuate_ms = {{Bounds.EvacuateMs}}\n", Fault);
+  REQUIRE(Unfilled);
+  CHECK(Unfilled->Identity.EvacuationPeriod == 5s);
+  CHECK_FALSE(parseServeSettings(ValidSettings + "evacuate_ms = 20\n", Fault));
+  CHECK(Fault == "line 15: evacuate_ms is not at least 1000 ms");
   std::string Missing = ValidSettings;
   Missing.erase(Missing.find("duty"),
                 std::string("duty = 10.200.0.2:8466\n").size());
