--- a/tests/proxy/simulated_fleet.cpp
+++ b/tests/proxy/simulated_fleet.cpp
@@ -100,6 +100,8 @@
   for (const std::string Id : {"a", "b", "c"}) {
     Entries.push_back(host_driver::makeEntry(Id, Id == Leader));
     Entries.back().Draining = Draining.contains(Id);
+    if (const auto Place = DataCentres.find(Id); Place != DataCentres.end())
+      Entries.back().DataCentre = Place->second;
     if (const auto Birth = Births.find(Id); Birth != Births.end())
       Entries.back().StartedAt = Birth->second;
     if (Absent.contains(Id))
--- a/tests/proxy/simulated_fleet.hpp
+++ b/tests/proxy/simulated_fleet.hpp
@@ -79,6 +79,7 @@
   std::string Leader = "a"; ///< Primary of the group.
   std::uint64_t Term = 1;
   std::set<std::string> Draining;
+  std::map<std::string, std::string> DataCentres; ///< Of targets; else suva.
   std::uint64_t HighestToken = 0;
   std::map<std::uint64_t, std::string> TokenHolders; ///< Who ordered with each.
   /// Target of the order that the platform will carry out.
