Limit what targets take that are still cold

Cause: a target that has just started is idle and slow, and all hosts prefer it; so after a restart or the end of an evacuation.

Change: where a group's settings limit it, each host has a whole number of statements in any second for a cold target; the numbers add up to the limit. docs/design/cold-targets.md.

--- a/src/proxy/connections.cpp
+++ b/src/proxy/connections.cpp
@@ -75,8 +75,10 @@
     Step.State.Sessions.at(Request.Session).Transaction->Wrote = true;
   Connection.Phase = connection_phase::Running;
   Connection.SentAt = Step.Now;
-  if (target_view *Target = targetOf(Step, Connection))
+  if (target_view *Target = targetOf(Step, Connection)) {
     Target->Running += 1;
+    noteColdSend(Step.State, *Target, Step.Now);
+  }
   Step.Out.push_back(
       effects::send_target{Connection.Number, {std::move(Outgoing)}});
 }
--- a/src/proxy/listing.cpp
+++ b/src/proxy/listing.cpp
@@ -37,7 +37,8 @@
     Target.DrainingSince = Step.Now;
   Target.Listed = true;
   Target.Absent = false;
-  Target.Entry = std::move(Entry);
+  const target_entry Old = std::exchange(Target.Entry, std::move(Entry));
+  noteColdness(Step, Target, IsNew ? nullptr : &Old);
   if (Restarted) {
     failConnections(Step, Target.Entry.Id, false);
     Target.KnownPosition = {};
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -190,6 +190,20 @@
 /// more, and logs when nothing is left in an evacuated data centre.
 void superviseEvacuations(step_context &Step);
 
+// Targets that are slow after their start (cold_targets.cpp).
+/// \brief Takes over how long a target stays cold, when its entry has changed.
+/// \param Old Its entry before, or null.
+void noteColdness(step_context &Step, target_view &Target,
+                  const target_entry *Old);
+/// \brief Whether a target is cold and its group limits what it takes then.
+[[nodiscard]] bool isCold(const host &State, const target_view &Target,
+                          instant Now);
+/// \brief Whether this host may send a target a statement now.
+/// \remarks Always true for targets that are not cold.
+[[nodiscard]] bool hasColdRoom(host &State, const target_view &Target,
+                               instant Now);
+void noteColdSend(const host &State, target_view &Target, instant Now);
+
 // The list of hosts (host_list.cpp).
 /// \brief Hosts that are not stopping, by data centre.
 [[nodiscard]] std::map<std::string, std::vector<host_id>>
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -252,13 +252,16 @@
   Option.Running = Target.Running;
   if (Target.Entry.DataCentre != State.Identity.DataCentre)
     Option.CrossingCostMs = crossingCostMs(Request.Route.LatencyGoal);
-  Option.RecentlyRefused = Target.BusyUntil > Step.Now;
+  Option.RecentlyRefused =
+      Target.BusyUntil > Step.Now || isCold(State, Target, Step.Now);
   Option.AvoidablePrimary = !Request.NeedsPrimary && !Candidate.OnReplica;
   if (Request.ForwardedTarget.empty() &&
       chooseOwner(State, Target, Step.Now).Kind == owner_kind::Peer) {
     Option.IsForwarded = true;
     return Option;
   }
+  if (!hasColdRoom(State, Target, Step.Now))
+    return Option;
   // Further statements wait here, in this host's order and not the target's. A
   // dial occupies a slot as well.
   if (areConnectionsOwned(State, Target.Entry.Group) &&
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -173,6 +173,9 @@
   log_position KnownPosition; ///< Highest position that it reported.
   instant AnsweredAt{};
   unsigned Dialling = 0; ///< Connections that are being opened.
+  instant ColdUntil{};   ///< The target is slow after its start until then.
+  /// When this host sent it statements while it was cold, of the last second.
+  std::deque<instant> ColdSends;
 };
 
 enum class promotion_stage {
