--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -28,6 +28,7 @@
   superviseRestore(Step);
   superviseElectors(Step);
   superviseWorkAtPrimaries(Step);
+  superviseEvacuations(Step);
   superviseCoordinatorRole(Step);
   supervisePromotions(Step);
   dropAbsentTargets(Step);
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -203,6 +203,42 @@
 // Evacuation of data centres (evacuation.cpp).
 void evacuationsChanged(step_context &Step,
                         events::evacuations_changed &&Event);
+/// \brief Whether a target stands in an evacuated data centre.
+[[nodiscard]] bool isEvacuated(const host &State, const target_entry &Entry);
+[[nodiscard]] bool isEvacuated(const host &State, const std::string &Target);
+/// \brief Whether nothing may be sent to a target any more, because its data
+/// centre is evacuated.
+[[nodiscard]] bool isUseOver(const host &State, const target_entry &Entry,
+                             instant Now);
+[[nodiscard]] bool isUseOver(const host &State, const std::string &Target,
+                             instant Now);
+/// \brief Whether a planned change may make a target its group's primary.
+[[nodiscard]] bool mayBecomePrimary(const host &State,
+                                    const target_view &Target);
+/// \brief Until when the use of a group's primary is expected to be possible
+/// again, if it is not because of an evacuation.
+/// \returns instant::max() when no target elsewhere can replace it, or none
+/// has in time.
+[[nodiscard]] std::optional<instant>
+expectedEndOfMove(const host &State, const std::string &Name,
+                  const group_state &Group, duration UsualChange, instant Now);
+/// \brief Ends the transactions and dials at targets that may not be used any
+/// more, and logs when nothing is left in an evacuated data centre.
+void superviseEvacuations(step_context &Step);
+
+// Targets that are slow after their start (cold_targets.cpp).
+/// \brief Takes over how long a target stays cold, when its entry has changed.
+/// \param Old Its entry before, or null.
+void noteColdness(step_context &Step, target_view &Target,
+                  const target_entry *Old);
+/// \brief Whether a target is cold and its group limits what it takes then.
+[[nodiscard]] bool isCold(const host &State, const target_view &Target,
+                          instant Now);
+/// \brief Whether this host may send a target a statement now.
+/// \remarks Always true for targets that are not cold.
+[[nodiscard]] bool hasColdRoom(host &State, const target_view &Target,
+                               instant Now);
+void noteColdSend(const host &State, target_view &Target, instant Now);
 
 // The list of hosts (host_list.cpp).
 /// \brief Hosts that are not stopping, by data centre.
--- a/tests/serve/peer_links_tests.cpp
+++ b/tests/serve/peer_links_tests.cpp
@@ -270,17 +270,18 @@
   CHECK(Hosts.Grants == 1);
   Hosts.ask();
   CHECK(Hosts.runUntil([&] { return Hosts.Grants == 2; }));
+}
 
-  TEST_CASE("A relayed call and its answer carry the store's era") {
-    linked_hosts Hosts;
-    platform::http_call Call;
-    Call.Era = 2;
-    std::uint64_t AnsweredEra = 0;
-    Hosts.Sender.relay(Hosts.Where, Call,
-                       [&AnsweredEra](const serve::relay_answer &Answer) {
-                         AnsweredEra = Answer.Answer.Era;
-                       });
-    Hosts.Io.run_for(300ms);
-    CHECK(Hosts.AskedEra == 2U);
-    CHECK(AnsweredEra == 3);
-  }
+TEST_CASE("A relayed call and its answer carry the store's era") {
+  linked_hosts Hosts;
+  platform::http_call Call;
+  Call.Era = 2;
+  std::uint64_t AnsweredEra = 0;
+  Hosts.Sender.relay(Hosts.Where, Call,
+                     [&AnsweredEra](const serve::relay_answer &Answer) {
+                       AnsweredEra = Answer.Answer.Era;
+                     });
+  Hosts.Io.run_for(300ms);
+  CHECK(Hosts.AskedEra == 2U);
+  CHECK(AnsweredEra == 3);
+}
