--- a/tests/proxy/evacuation_tests.cpp
+++ b/tests/proxy/evacuation_tests.cpp
@@ -321,16 +321,18 @@
 TEST_CASE("A host of an evacuated data centre that is cut off goes on sending "
           "nothing to its targets") {
   host_driver Driver = readyHost();
+  // Replicas may be read for as long as this position is young enough.
+  runWrite(Driver, Driver.openSession("live"), "w1");
   const session_number Session = Driver.openSession("own");
   evacuate(Driver, {"suva", "nadi"}, 5s);
   Driver.send(events::store_reachability_changed{false});
   Driver.send(events::isolation_changed{true});
-  for (int Second = 0; Second < 8; ++Second) {
-    Driver.sendStatement(Session, "r" + std::to_string(Second),
+  for (int Number = 0; Number < 20; ++Number) {
+    Driver.sendStatement(Session, "r" + std::to_string(Number),
                          statement_kind::Read, "READ 1");
-    Driver.advanceTime(1s);
+    CHECK(answerTargets(Driver).empty());
+    Driver.advanceTime(100ms);
   }
-  CHECK(answerTargets(Driver).empty());
 }
 
 TEST_CASE("Primaries of an evacuated data centre are replaced side by side") {
