--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -101,7 +101,10 @@
   void operator()(events::forward_pending &Event) {
     forwardPending(Step, Event.Link);
   }
-  void operator()(events::peer_lost &Event) { peerLost(Step, Event.Link); }
+  void operator()(events::peer_lost &Event) {
+    forgetTokenRequests(Step.State.Allowances, Event.Link);
+    peerLost(Step, Event.Link);
+  }
   void operator()(events::vote_requested &Event) { voteRequested(Step, Event); }
   void operator()(events::vote_received &Event) {
     voteReceived(Step, Event.Vote);
--- a/src/proxy/host_list.cpp
+++ b/src/proxy/host_list.cpp
@@ -120,7 +120,8 @@
 bool isMoved(const host_record &Old, const host_record &New) {
   return Old.PeerEndpoint != New.PeerEndpoint ||
          Old.DataCentre != New.DataCentre || Old.Leaving != New.Leaving ||
-         Old.LinkMbps != New.LinkMbps;
+         Old.LinkMbps != New.LinkMbps ||
+         Old.GrantsByDataCentre != New.GrantsByDataCentre;
 }
 
 /// Takes over a host's record from the store, unless a newer change is known.
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -20,6 +20,14 @@
 void drainBacklog(step_context &Step, caller_session &Session);
 void endIdleTransactions(step_context &Step);
 
+/// \brief Queues a BEGIN that waits for its account's token.
+void enqueueBegin(step_context &Step, caller_session &Session, std::string Id,
+                  statement Statement);
+/// \brief Begins the transaction of a queued BEGIN, whose token was just taken.
+void completeBegin(step_context &Step, target_request &Request);
+[[nodiscard]] constexpr bool isBegin(statement_kind Kind) noexcept {
+  return Kind == statement_kind::Begin || Kind == statement_kind::BeginRead;
+}
 /// \brief Begins a transaction of a caller's or of a forwarded session.
 void openTransaction(caller_session &Session, session_route Route,
                      bool IsReadOnly, instant Now);
@@ -350,6 +358,23 @@
 /// \returns False when there is no token.
 [[nodiscard]] bool admitOperation(step_context &Step,
                                   const std::string &Account);
+/// \brief Whether an operation without a token should wait for one: it is
+/// requested from another host or forms here within the time that a route's
+/// latency goal leaves. Otherwise it should be refused at once.
+[[nodiscard]] bool mayAwaitToken(const host &State, const std::string &Account,
+                                 instant ArrivedAt, duration LatencyGoal,
+                                 instant Now);
+/// \brief Keeps the token that was just taken for the first statement of the
+/// session's transaction.
+void keepTransactionToken(step_context &Step, caller_session &Session);
+/// \brief Takes the transaction's token.
+/// \returns False when it has expired meanwhile.
+[[nodiscard]] bool takeTransactionToken(step_context &Step,
+                                        caller_session &Session);
+/// \brief Returns the token of a transaction that ran nothing at a target.
+void returnTransactionToken(step_context &Step, caller_session &Session);
+/// \brief Counts an operation that was refused for lack of a token.
+void countRefusal(host &State, const std::string &Account);
 /// \brief Time after which an operation without a token should be retried.
 [[nodiscard]] duration untilNextToken(const host &State,
                                       const std::string &Account, instant Now);
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -23,8 +23,6 @@
 /// statements that need them.
 constexpr double PrimaryPenaltyFactor = 1.6;
 constexpr double PrimaryPenaltyMs = 4;
-/// A request without a token waits this long for a transfer from another host.
-constexpr duration TokenWaitTimeout = std::chrono::milliseconds(20);
 /// A failover usually takes this long.
 constexpr duration UsualFailoverDuration = std::chrono::milliseconds(1400);
 /// A new primary answers about this long before it is announced.
@@ -382,10 +380,10 @@
     return true;
   }
   const host &State = Step.State;
-  if (isAboutToRefill(State, Step.Now) ||
-      Step.Now - std::max(Request.ArrivedAt, State.RefillingSince) <
-          TokenWaitTimeout)
+  if (mayAwaitToken(State, Request.Account, Request.ArrivedAt,
+                    Request.Route.LatencyGoal, Step.Now))
     return false;
+  countRefusal(Step.State, Request.Account);
   const duration Wait = untilNextToken(State, Request.Account, Step.Now);
   refuseWaiting(Step, Request,
                 "the account is beyond its rate; " + retryAfterText(Wait));
@@ -405,6 +403,11 @@
     target_request *Request = findIn(State.Requests, Number);
     if (Request == nullptr || !Request->Rank || Step.Now < Request->RetryAt)
       continue;
+    if (isBegin(Request->Statement.Kind)) {
+      if (takeRequestToken(Step, *Request))
+        completeBegin(Step, *Request);
+      continue;
+    }
     const placement_class Class{Request->Route.Group, Request->Account,
                                 Request->NeedsPrimary};
     if (PassState.BlockedClasses.contains(Class))
--- a/src/proxy/primaries.cpp
+++ b/src/proxy/primaries.cpp
@@ -49,6 +49,7 @@
   Record.DataCentre = State.Identity.DataCentre;
   Record.LinkMbps = State.Identity.LinkMbps;
   Record.Leaving = State.Stopping;
+  Record.GrantsByDataCentre = true;
   for (const auto &[Name, Group] : State.Groups) {
     // It stays when the record is open again, which saves a write by each host;
     // a later closure has a higher generation.
--- a/src/proxy/records.cpp
+++ b/src/proxy/records.cpp
@@ -109,6 +109,8 @@
                       {"blind", toObject(Record.UnreachablePrimaries)}};
   if (Record.Revoked)
     Object["revoked"] = true;
+  if (Record.GrantsByDataCentre)
+    Object["grants_by_data_centre"] = true;
   if (Record.LinkMbps > 0)
     Object["link_mbps"] = Record.LinkMbps;
   if (!Record.SuspectedPrimaries.empty())
@@ -157,6 +159,9 @@
   if (const json::value *Leaving = Object->if_contains("leaving");
       Leaving != nullptr && Leaving->is_bool())
     Record.Leaving = Leaving->as_bool();
+  if (const json::value *Grants = Object->if_contains("grants_by_data_centre");
+      Grants != nullptr && Grants->is_bool())
+    Record.GrantsByDataCentre = Grants->as_bool();
   if (const json::value *Revoked = Object->if_contains("revoked");
       Revoked != nullptr && Revoked->is_bool())
     Record.Revoked = Revoked->as_bool();
--- a/src/proxy/records.hpp
+++ b/src/proxy/records.hpp
@@ -49,6 +49,8 @@
   std::string DataCentre;
   double LinkMbps = 0;  ///< Bandwidth of its network link; 0: not known.
   bool Leaving = false; ///< The host is stopping; it owns no connections.
+  /// The host can divide accounts' rates by data centre; see rates.cpp.
+  bool GrantsByDataCentre = false;
   /// Last closed generation for which the host stopped using the primary, by
   /// group.
   std::map<std::string, std::uint64_t> AcknowledgedClosures;
--- a/src/proxy/requests.cpp
+++ b/src/proxy/requests.cpp
@@ -189,11 +189,47 @@
   Request.NeedsPrimary =
       Request.Route.Consistency == read_consistency::Primary || !ReadOnly;
   Request.Statement = std::move(Statement);
-  if (!Session.Transaction || Session.Transaction->Connection == 0)
+  if (Session.Transaction && Session.Transaction->TokenRequestedAt)
+    Request.TokenTaken = takeTransactionToken(Step, Session);
+  else if (!Session.Transaction || Session.Transaction->Connection == 0)
     recordDemand(State.Allowances, Session.Account);
   launchRequest(Step, Session, std::move(Request));
 }
 
+void enqueueBegin(step_context &Step, caller_session &Session, std::string Id,
+                  statement Statement) {
+  target_request Request;
+  Request.Number = nextNumber(Step.State);
+  Request.Session = Session.Number;
+  Request.Id = std::move(Id);
+  Request.Account = Session.Account;
+  Request.Route = Step.State.Settings->Routes.at(Session.Database);
+  Request.ArrivedAt = Step.Now;
+  Request.Deadline = Step.Now + Request.Route.StatementTimeout;
+  Request.Statement = std::move(Statement);
+  Session.Request = Request.Number;
+  const request_number Number = Request.Number;
+  enqueueRequest(
+      Step,
+      Step.State.Requests.emplace(Number, std::move(Request)).first->second);
+}
+
+void completeBegin(step_context &Step, target_request &Request) {
+  caller_session &Session = Step.State.Sessions.at(Request.Session);
+  dequeue(Step.State.Waiting, *Request.Rank);
+  openTransaction(Session, std::move(Request.Route),
+                  Request.Statement.Kind == statement_kind::BeginRead,
+                  Step.Now);
+  keepTransactionToken(Step, Session);
+  Step.State.Requests.erase(Request.Number);
+  Session.Request = 0;
+  answer Answer;
+  Answer.Code = answer_code::Complete;
+  Answer.Phase = Session.Phase;
+  answerSession(Step, Session, std::move(Answer));
+  drainBacklog(Step, Session);
+}
+
 void launchRequest(step_context &Step, caller_session &Session,
                    target_request Request) {
   host &State = Step.State;
@@ -227,7 +263,10 @@
   Step.Out.push_back(effects::record_outcome{
       enumName(Request.Route.Consistency), Request.Account, Answer.Code,
       Step.Now - Request.ArrivedAt});
-  if (Request.TokenTaken && isNotRun(Answer.Code) && isNotRun(Request.LastCode))
+  // The token of a forwarded statement was taken by the host that forwards it.
+  if (Request.TokenTaken && Request.ForwardedTarget.empty() &&
+      !Request.MayHaveRun && isNotRun(Answer.Code) &&
+      isNotRun(Request.LastCode))
     returnToken(Step.State.Allowances, Request.Account);
   releaseConnections(Step, Request);
   caller_session *Session = sessionOf(Step, Request);
@@ -247,6 +286,7 @@
                    answer_code Code, bool NotRun) {
   caller_session *Session = sessionOf(Step, Request);
   Request.LastCode = Code;
+  Request.MayHaveRun = Request.MayHaveRun || !NotRun;
   const bool CanRepeat = NotRun || (!Request.InTransaction && !Request.Writes);
   const bool NothingRunBefore =
       !Request.InTransaction || isFirstOfTransaction(Session);
--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -38,15 +38,25 @@
   return answer_code::Complete;
 }
 
+/// Begins a transaction once its token is taken, so that one which has begun is
+/// not aborted for its account's rate. Without a token, BEGIN waits in the
+/// queue.
 void beginTransaction(step_context &Step, caller_session &Session,
-                      statement_kind Kind) {
+                      queued_statement &&Queued) {
   if (Session.Transaction) {
     answerWithoutTarget(Step, Session, answer_code::Malformed,
                         "a transaction is open");
     return;
   }
+  recordDemand(Step.State.Allowances, Session.Account);
+  if (!admitOperation(Step, Session.Account)) {
+    enqueueBegin(Step, Session, std::move(Queued.Id),
+                 std::move(Queued.Statement));
+    return;
+  }
   openTransaction(Session, Step.State.Settings->Routes.at(Session.Database),
-                  Kind == statement_kind::BeginRead, Step.Now);
+                  Queued.Statement.Kind == statement_kind::BeginRead, Step.Now);
+  keepTransactionToken(Step, Session);
   answerWithoutTarget(Step, Session, answer_code::Complete);
 }
 
@@ -56,6 +66,7 @@
     if (auto *Connection =
             findIn(Step.State.Connections, Session.Transaction->Connection))
       rollBackOnTarget(Step, *Connection);
+  returnTransactionToken(Step, Session);
   Session.Transaction.reset();
 }
 
@@ -148,7 +159,7 @@
     return;
   }
   if (BeginsTransaction)
-    beginTransaction(Step, Session, Kind);
+    beginTransaction(Step, Session, std::move(Queued));
   else
     startRequest(Step, Session, std::move(Queued.Id),
                  std::move(Queued.Statement));
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -38,6 +38,9 @@
   unsigned AnsweredStatements = 0;  ///< Statements that a target answered.
   connection_number Connection = 0; ///< 0: no statement was sent yet.
   instant LastUsedAt{};
+  /// A token that was taken as it began, for its first statement at a target:
+  /// when the token was requested, which bounds its lifetime.
+  std::optional<instant> TokenRequestedAt;
 };
 
 /// \brief Identifies another host's session that this host serves as connection
@@ -103,6 +106,7 @@
   /// Connection of an earlier attempt that may still be answered, or 0.
   connection_number HedgedConnection = 0;
   bool TokenTaken = false;
+  bool MayHaveRun = false; ///< In an attempt; its token is not returned.
   answer_code LastCode = answer_code::Busy; ///< Result of the last attempt.
 };
 
--- a/tests/proxy/allowance_tests.cpp
+++ b/tests/proxy/allowance_tests.cpp
@@ -221,3 +221,26 @@
   account_allowance &Allowance = Table.Accounts[Account];
   CHECK(tokensToRequest(Allowance, true, Start + 600ms) <= 1);
 }
+
+// Statements that a target refused return their token. Most hosts of a large
+// fleet have no bucket that refills for the account.
+TEST_CASE("A token that is returned can be spent again on a host whose bucket "
+          "does not refill") {
+  constexpr std::size_t FleetSize = 84;
+  const proxy_settings Settings = settingsWith(20, 20);
+  std::vector<std::string> Names;
+  for (std::size_t Host = 0; Host < FleetSize; ++Host)
+    Names.push_back(fleet::nameOf(100 + Host));
+  const auto Refilling =
+      refillingHostsFor(Settings.Accounts.at(Account), Names);
+  const auto Own = std::find_if(Names.begin(), Names.end(), [&](const auto &N) {
+    return std::find(Refilling.begin(), Refilling.end(), N) == Refilling.end();
+  });
+  REQUIRE(Own != Names.end());
+  allowance_table Table;
+  divideRates(Table, Settings, Names, *Own, Start);
+  receiveTokens(Table, Account, 1, Start);
+  REQUIRE(takeToken(Table, Account, Start + 1ms));
+  returnToken(Table, Account);
+  CHECK(takeToken(Table, Account, Start + 5ms));
+}
