--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -103,8 +103,16 @@
   void operator()(events::forward_pending &Event) {
     forwardPending(Step, Event.Link);
   }
-  void operator()(events::peer_lost &Event) { peerLost(Step, Event); }
-  void operator()(events::link_replaced &Event) { linkReplaced(Step, Event); }
+  void operator()(events::peer_lost &Event) {
+    if (!Event.LastTicket)
+      forgetTokenRequests(Step.State.Allowances, Event.Link);
+    peerLost(Step, Event);
+  }
+  void operator()(events::link_replaced &Event) {
+    // Nothing answers what was sent on the silent connection.
+    forgetTokenRequests(Step.State.Allowances, Event.Link);
+    linkReplaced(Step, Event);
+  }
   void operator()(events::vote_requested &Event) { voteRequested(Step, Event); }
   void operator()(events::vote_received &Event) {
     voteReceived(Step, Event.Vote);
