Add crowds of unruly clients against a running session host

Crowds and bounds are fixed here, before the product changes; the code as it stands ignores [limits].

--- /dev/null
+++ b/tests/crowds/running_host.hpp
@@ -0,0 +1,62 @@
+/// A session host's process with its own settings, and what /proc says of it.
+#pragma once
+
+#include "stand_ins.hpp"
+
+#include <sys/types.h>
+
+#include <filesystem>
+
+namespace bronzespar::crowds {
+
+/// The machine that the settings describe. A process has to stay within both,
+/// whatever its clients do.
+inline constexpr std::size_t MemoryMb = 64;
+inline constexpr std::size_t MaxFds = 256;
+
+/// \brief Database and key of callers in these tests.
+inline constexpr const char *Database = "sales";
+inline constexpr const char *Key = "k1";
+
+/// \brief Ports of a host.
+struct host_ports {
+  std::uint16_t Callers = freePort();
+  std::uint16_t Readiness = freePort();
+  std::uint16_t Peers = freePort();
+  std::uint16_t Metrics = freePort();
+};
+
+/// \brief Starts bronzespar-sessiond before a stand-in store and one target,
+/// and ends it by its id. One ordinary request has been served when the
+/// constructor returns.
+class running_host {
+public:
+  running_host();
+  ~running_host();
+  running_host(const running_host &) = delete;
+  running_host &operator=(const running_host &) = delete;
+
+  [[nodiscard]] const host_ports &ports() const noexcept { return Ports; }
+  [[nodiscard]] stand_in_target &target() noexcept { return Target; }
+  /// \brief Whether the process has not ended.
+  [[nodiscard]] bool lives() const;
+  /// \brief Largest resident size so far, in kB.
+  [[nodiscard]] std::size_t peakMemoryKb() const;
+  [[nodiscard]] std::size_t openDescriptors() const;
+  /// \brief Sends one small read in a session of its own, and again on a new
+  /// connection until it is answered.
+  [[nodiscard]] bool servesOrdinaryRequest() const;
+
+private:
+  [[nodiscard]] std::string settings() const;
+  void start();
+  [[nodiscard]] bool readOnce() const;
+
+  stand_in_store Store;
+  stand_in_target Target;
+  host_ports Ports;
+  std::filesystem::path Folder;
+  pid_t Process = -1;
+};
+
+} // namespace bronzespar::crowds
