Wait until a crowd's bytes are read; record the crowds on the code as it stands

The first run measured before the host had read what was sent: in it false-lengths, unended-lines, lines-in-pieces, whole-lines and half-bodies passed by chance. Each check now waits until the resident size stays the same. Crowds and bounds (64 MB peak, 256 descriptors) are unchanged.

--- a/tests/crowds/checks.hpp
+++ b/tests/crowds/checks.hpp
@@ -9,6 +9,7 @@
 
 /// \brief Checks a host while the crowd's connections are still open.
 inline void checkHolds(running_host &Host) {
+  Host.awaitCalm();
   REQUIRE(Host.lives());
   CHECK(Host.openDescriptors() <= MaxFds);
   CHECK(Host.servesOrdinaryRequest());
--- a/tests/crowds/running_host.cpp
+++ b/tests/crowds/running_host.cpp
@@ -17,6 +17,10 @@
 namespace {
 
 constexpr int MaxTries = 30;
+/// The process is calm when its size is the same in so many polls.
+constexpr int CalmPolls = 60;
+constexpr int MaxCalmPolls = 600;
+constexpr auto CalmPollDelay = std::chrono::milliseconds(50);
 constexpr int AnswerWaitS = 5; ///< A connection without an answer hangs.
 constexpr auto RetryDelay = std::chrono::milliseconds(200);
 /// Beyond MaxFds, so that the process has to keep to its setting.
@@ -97,12 +101,25 @@
   return Process > 0 && ::waitpid(Process, nullptr, WNOHANG) == 0;
 }
 
-std::size_t running_host::peakMemoryKb() const {
+std::size_t running_host::peakMemoryKb() const { return statusKb("VmHWM:"); }
+
+void running_host::awaitCalm() const {
+  std::size_t Last = 0;
+  int Unchanged = 0;
+  for (int Poll = 0; Poll < MaxCalmPolls && Unchanged < CalmPolls; ++Poll) {
+    std::this_thread::sleep_for(CalmPollDelay);
+    const std::size_t Now = statusKb("VmRSS:");
+    Unchanged = Now == Last ? Unchanged + 1 : 0;
+    Last = Now;
+  }
+}
+
+std::size_t running_host::statusKb(const std::string &Name) const {
   std::ifstream Status("/proc/" + std::to_string(Process) + "/status");
   std::string Word;
   std::size_t Kb = 0;
   while (Status >> Word)
-    if (Word == "VmHWM:")
+    if (Word == Name)
       Status >> Kb;
   return Kb;
 }
--- a/tests/crowds/running_host.hpp
+++ b/tests/crowds/running_host.hpp
@@ -40,6 +40,9 @@
   [[nodiscard]] stand_in_target &target() noexcept { return Target; }
   /// \brief Whether the process has not ended.
   [[nodiscard]] bool lives() const;
+  /// \brief Waits until the process has read what was sent to it: until its
+  /// resident size stays the same for a while.
+  void awaitCalm() const;
   /// \brief Largest resident size so far, in kB.
   [[nodiscard]] std::size_t peakMemoryKb() const;
   [[nodiscard]] std::size_t openDescriptors() const;
@@ -49,6 +52,7 @@
 
 private:
   [[nodiscard]] std::string settings() const;
+  [[nodiscard]] std::size_t statusKb(const std::string &Name) const;
   void start();
   [[nodiscard]] bool readOnce() const;
 
