Limit what clients out of step can hold (not built yet)

Cause: nothing added up the receive buffers, backlogs, unsent answers and frames of clients, and callers could take all descriptors. One statement of a session is handed on at a time; one memory budget for callers and unproven peers; shares of descriptors; limits of time for startups, messages and answers; buffers grow as bytes arrive and are released. Syntax checked only; not built and not run.

--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-/// A caller that pipelines more statements is disconnected.
+/// A caller with more unanswered statements is disconnected. The listener hands
+/// on the next one only after the answer, so that none reaches this number.
 constexpr std::size_t MaxPipelinedStatements = 64;
 /// Account name of callers without a known key; public routes admit them.
 constexpr const char *AnonymousAccount = "-";
--- a/src/serve/callers.cpp
+++ b/src/serve/callers.cpp
@@ -9,15 +9,40 @@
 
 using boost::asio::ip::tcp;
 
-/// A connection without a startup message within this time is closed, because
-/// it would hold a file descriptor without any use.
-constexpr duration StartupTimeout = std::chrono::seconds(10);
+/// Sweeps, one a second, after which a connection is closed that has sent no
+/// startup message, because it would hold a file descriptor without any use.
+constexpr std::uint8_t MaxUnstartedSweeps = 10;
+/// The same for one that ends no message and reads no answer meanwhile.
+constexpr std::uint8_t MaxStalledSweeps = 60;
+/// The same for the last text of a connection whose session has ended.
+constexpr std::uint8_t MaxEndingSweeps = 10;
+/// Delay before the next connection is accepted when none could be, for want of
+/// a descriptor.
+constexpr duration AcceptDelay = std::chrono::milliseconds(100);
+/// Part of the table that is cleared at once, because choosing reads all of it.
+constexpr std::size_t RoomPart = 32;
+/// A statement is held as text, as a request and as a message to the target.
+constexpr std::size_t CopiesOfLine = 2;
+
+proxy::connection_use useOf(bool Started, bool Busy, bool InTransaction) {
+  if (Busy)
+    return proxy::connection_use::Busy;
+  if (!Started)
+    return proxy::connection_use::Unstarted;
+  return InTransaction ? proxy::connection_use::InTransaction
+                       : proxy::connection_use::Idle;
+}
 
 } // namespace
 
 caller_listener::caller_listener(boost::asio::io_context &Io,
-                                 const endpoint &Where, event_sink Sink)
-    : Acceptor(Io, toAsio(Where), true), Events(std::move(Sink)) {}
+                                 const endpoint &Where, event_sink Sink,
+                                 client_memory &ClientMemory,
+                                 std::size_t MaxConnections,
+                                 close_report OnClose)
+    : Acceptor(Io, toAsio(Where), true), AcceptTimer(Io),
+      Events(std::move(Sink)), Memory(ClientMemory),
+      MaxSessions(MaxConnections), Report(std::move(OnClose)) {}
 
 void caller_listener::start() { accept(); }
 
@@ -26,16 +51,59 @@
       [this](boost::system::error_code Failed, tcp::socket Socket) {
         if (!Acceptor.is_open())
           return;
-        if (!Failed)
-          addConnection(std::move(Socket));
-        accept();
+        if (Failed) {
+          acceptLater();
+          return;
+        }
+        addConnection(std::move(Socket));
+        makeRoom();
+        if (Sessions.size() + Ending.size() > MaxSessions)
+          acceptLater();
+        else
+          accept();
       });
 }
 
+void caller_listener::acceptLater() {
+  AcceptTimer.expires_after(AcceptDelay);
+  AcceptTimer.async_wait([this](boost::system::error_code Cancelled) {
+    if (Cancelled)
+      return;
+    makeRoom();
+    if (Sessions.size() + Ending.size() > MaxSessions)
+      acceptLater();
+    else
+      accept();
+  });
+}
+
+void caller_listener::makeRoom() {
+  if (Sessions.size() + Ending.size() < MaxSessions)
+    return;
+  std::vector<proxy::connection_candidate> Candidates;
+  for (const auto &[Number, Each] : Sessions)
+    if (Number != LastNumber)
+      Candidates.push_back({Number,
+                            useOf(Each.Started, Each.Busy, Each.InTransaction),
+                            Each.LastActivity});
+  for (const proxy::session_number Number :
+       proxy::chooseEvicted(std::move(Candidates), 1 + MaxSessions / RoomPart))
+    cutOff(Number, "caller.evicted");
+}
+
+void caller_listener::cutOff(proxy::session_number Number,
+                             std::string_view Event) {
+  Report(Event);
+  endSession(Number);
+}
+
 void caller_listener::addConnection(tcp::socket Socket) {
   const proxy::session_number Number = ++LastNumber;
   auto Connection = std::make_shared<line_socket>(std::move(Socket));
-  Sessions[Number] = {Connection, bootNow(), false};
+  Connection->countAsClient(Memory, {proxy::client_kind::Caller, Number});
+  session &Added = Sessions[Number];
+  Added.Socket = Connection;
+  Added.LastActivity = ++LastActivity;
   Connection->start(
       [this, Number](std::string_view Text) {
         return lineArrived(Number, Text);
@@ -64,8 +132,13 @@
       Events(proxy::events::session_closed{Number});
     return false;
   }
+  session &Session = Found->second;
+  // The next line waits for the answer to this one.
+  Session.Socket->pause(CopiesOfLine * Line.size());
+  Session.Busy = true;
+  Session.LastActivity = ++LastActivity;
   if (IsStartup) {
-    Found->second.Started = true;
+    Session.Started = true;
     Events(proxy::events::session_opened{Number, std::move(Message.Database),
                                          std::move(Message.Credential)});
   } else {
@@ -95,13 +168,20 @@
   Sessions.erase(Found);
   if (!FinalText.empty())
     Socket->send(FinalText);
+  Ending.push_back({Socket});
   Socket->closeAfterSending();
+  if (Socket->isClosed())
+    Ending.pop_back();
 }
 
 void caller_listener::carryOut(const proxy::effects::accept_session &Effect) {
   const auto Found = Sessions.find(Effect.Session);
-  if (Found != Sessions.end())
-    Found->second.Socket->send(platform::formatWelcome());
+  if (Found == Sessions.end())
+    return;
+  Found->second.Busy = false;
+  const std::shared_ptr<line_socket> Socket = Found->second.Socket;
+  Socket->send(platform::formatWelcome());
+  Socket->resume();
 }
 
 void caller_listener::carryOut(const proxy::effects::refuse_session &Effect) {
@@ -111,21 +191,46 @@
 
 void caller_listener::carryOut(const proxy::effects::answer_caller &Effect) {
   const auto Found = Sessions.find(Effect.Session);
-  if (Found != Sessions.end())
-    Found->second.Socket->send(platform::formatAnswer(Effect.Answer));
+  if (Found == Sessions.end())
+    return;
+  Found->second.Busy = false;
+  Found->second.InTransaction =
+      Effect.Answer.Phase == proxy::session_phase::InTransaction;
+  // Sending or resuming may end the session.
+  const std::shared_ptr<line_socket> Socket = Found->second.Socket;
+  Socket->send(platform::formatAnswer(Effect.Answer));
+  Socket->resume();
 }
 
 void caller_listener::carryOut(const proxy::effects::close_session &Effect) {
   closeSession(Effect.Session, {});
 }
 
-void caller_listener::closeUnstarted(instant Now) {
-  std::vector<proxy::session_number> Unstarted;
-  for (const auto &[Number, Session] : Sessions)
-    if (!Session.Started && Now > Session.OpenedAt + StartupTimeout)
-      Unstarted.push_back(Number);
-  for (const proxy::session_number Number : Unstarted)
-    closeSession(Number, {});
+bool caller_listener::isStalled(session &Session) const {
+  const std::uint32_t Progress = Session.Socket->progress();
+  const bool Waits = !Session.Started || Session.Socket->isOutOfStep();
+  if (!Waits || Progress != Session.SeenProgress)
+    Session.StalledSweeps = 0;
+  else
+    Session.StalledSweeps += 1;
+  Session.SeenProgress = Progress;
+  return Session.StalledSweeps >=
+         (Session.Started ? MaxStalledSweeps : MaxUnstartedSweeps);
+}
+
+void caller_listener::sweep() {
+  std::vector<std::pair<proxy::session_number, bool>> Stalled;
+  for (auto &[Number, Session] : Sessions)
+    if (isStalled(Session))
+      Stalled.emplace_back(Number, Session.Started);
+  for (const auto &[Number, Started] : Stalled)
+    cutOff(Number, Started ? "caller.stalled" : "caller.unstarted");
+  std::erase_if(Ending, [](ending_connection &Each) {
+    Each.Sweeps += 1;
+    if (Each.Sweeps >= MaxEndingSweeps)
+      Each.Socket->close();
+    return Each.Socket->isClosed();
+  });
 }
 
 } // namespace bronzespar::serve
--- a/src/serve/frame_socket.cpp
+++ b/src/serve/frame_socket.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace bronzespar::serve {
@@ -15,6 +16,10 @@
 namespace {
 
 constexpr std::size_t LengthBytes = sizeof(std::uint32_t);
+/// Most frames fit into the first part of the buffer.
+constexpr std::size_t MaxFirstPartBytes = std::size_t{4} << 10;
+/// A connection without a frame under way keeps no larger buffer.
+constexpr std::size_t MaxKeptBytes = std::size_t{64} << 10;
 
 } // namespace
 
@@ -103,20 +108,47 @@
 }
 
 void frame_socket::readBody(std::uint32_t Size) {
-  Body.resize(Size);
-  receive(asio::buffer(Body), [this](boost::system::error_code Failed) {
-    if (Failed) {
-      fail();
-      return;
-    }
-    OnFrame(Body);
-    if (!Closed)
-      readLength();
-  });
+  // The length is only a claim: the buffer grows as bytes arrive.
+  const std::size_t Before = Body.size();
+  const std::size_t Part = std::min<std::size_t>(
+      Size - Before, std::max<std::size_t>(Before, MaxFirstPartBytes));
+  Body.resize(Before + Part);
+  if (!IsTrusted)
+    Share.set({Body.capacity(), true});
+  receive(asio::buffer(Body.data() + Before, Part),
+          [this, Size](boost::system::error_code Failed) {
+            if (Failed)
+              fail();
+            else if (Body.size() < Size)
+              readBody(Size);
+            else
+              complete();
+          });
+}
+
+void frame_socket::complete() {
+  OnFrame(Body);
+  Body.clear();
+  if (Body.capacity() > MaxKeptBytes)
+    std::string().swap(Body);
+  if (!Closed)
+    readLength();
+}
+
+void frame_socket::countAsClient(client_memory &Memory,
+                                 proxy::client_holder Holder) {
+  IsTrusted = false;
+  Share.bind(Memory, Holder);
+}
+
+void frame_socket::trust() {
+  IsTrusted = true;
+  Share.set({});
 }
 
 void frame_socket::close() {
   Closed = true;
+  Share.set({});
   boost::system::error_code Ignored;
   Socket.close(Ignored);
 }
--- a/src/serve/frame_socket.hpp
+++ b/src/serve/frame_socket.hpp
@@ -1,6 +1,7 @@
 /// A TCP connection that carries length-prefixed frames.
 #pragma once
 
+#include "client_memory.hpp"
 #include "wiring.hpp"
 
 #include <functional>
@@ -24,6 +25,10 @@
                end_hook End);
 
   void connect(const endpoint &Where);
+  /// \brief Counts incoming bytes as a client's, until trust().
+  void countAsClient(client_memory &Memory, proxy::client_holder Holder);
+  /// \brief The other end has sent a valid frame.
+  void trust();
   /// \brief Reads frames of an accepted connection.
   void start();
   void send(std::string_view Payload);
@@ -38,6 +43,7 @@
   void write();
   void readLength();
   void readBody(std::uint32_t Size);
+  void complete();
   void fail();
   /// Receives a buffer, and calls Done(error) unless the connection is closed.
   template <class Buffer, class Done>
@@ -51,6 +57,8 @@
   std::string Body;
   std::string Outgoing; ///< Waits for the write under way.
   std::string Sending;  ///< Buffer of the write under way.
+  memory_share Share;   ///< Of a connection that is not trusted yet.
+  bool IsTrusted = true;
   bool Connecting = false;
   bool Writing = false;
   bool Closed = false;
--- a/src/serve/line_socket.cpp
+++ b/src/serve/line_socket.cpp
@@ -8,6 +8,22 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+namespace {
+
+/// An idle connection keeps no larger buffers.
+constexpr std::size_t MaxKeptBytes = std::size_t{8} << 10;
+
+/// Empties a buffer. \param Start Offset into it.
+void releaseLarge(std::string &Buffer, std::size_t &Start) {
+  Start = 0;
+  if (Buffer.capacity() > MaxKeptBytes)
+    std::string().swap(Buffer);
+  else
+    Buffer.clear();
+}
+
+} // namespace
+
 line_socket::line_socket(tcp::socket Open) : Socket(std::move(Open)) {
   prepareSocket(Socket);
 }
@@ -36,6 +52,11 @@
   });
 }
 
+void line_socket::countAsClient(client_memory &Memory,
+                                proxy::client_holder Holder) {
+  Share.bind(Memory, Holder);
+}
+
 void line_socket::start(line_hook Line, end_hook End) {
   OnLine = std::move(Line);
   OnEnd = std::move(End);
@@ -44,10 +65,12 @@
 }
 
 void line_socket::read() {
+  Reading = true;
   Socket.async_read_some(
       asio::buffer(Chunk),
       [Self = shared_from_this()](boost::system::error_code Failed,
                                   std::size_t Length) {
+        Self->Reading = false;
         if (Self->Closed)
           return;
         if (Failed)
@@ -59,21 +82,77 @@
 
 void line_socket::received(std::size_t Length) {
   platform::appendBytes(Reader, std::string_view(Chunk.data(), Length));
-  while (!Closed) {
+  deliver();
+  readOn();
+}
+
+bool line_socket::mayDeliver() const noexcept {
+  const bool IsUnread = Share.isBound() && unreadBytes() > MaxUnreadBytes;
+  return !Closed && !Stopped && !Paused && !IsUnread;
+}
+
+void line_socket::deliver() {
+  Delivering = true;
+  while (mayDeliver()) {
     const auto Line = platform::nextLine(Reader);
     if (Reader.Overflow) {
       fail();
-      return;
+      break;
     }
     if (!Line)
       break;
+    Progress += 1;
     // Copied, because the hook may close this socket and release its own hooks.
     const std::string Copy(*Line);
     if (!OnLine(Copy))
-      return;
+      Stopped = true;
   }
-  if (!Closed)
+  Delivering = false;
+  if (pendingBytes() == 0)
+    releaseLarge(Reader.Buffer, Reader.Start);
+}
+
+void line_socket::readOn() {
+  if (Closed || Stopped || Reading)
+    return;
+  if (mayDeliver() || pendingBytes() < MaxReadAheadBytes)
     read();
+  reportHeld();
+}
+
+void line_socket::pause(std::size_t HeldBytes) {
+  Paused = true;
+  HeldByLine = HeldBytes;
+}
+
+void line_socket::resume() {
+  Paused = false;
+  HeldByLine = 0;
+  if (Delivering)
+    return;
+  if (pendingBytes() > 0)
+    deliver();
+  readOn();
+}
+
+std::size_t line_socket::unreadBytes() const noexcept {
+  return Outgoing.size() + Sending.size();
+}
+
+std::size_t line_socket::pendingBytes() const noexcept {
+  return Reader.Buffer.size() - Reader.Start;
+}
+
+bool line_socket::isOutOfStep() const noexcept {
+  return unreadBytes() > 0 || (!Paused && pendingBytes() > 0);
+}
+
+void line_socket::reportHeld() {
+  if (!Share.isBound())
+    return;
+  const std::size_t Buffered =
+      Reader.Buffer.capacity() + Outgoing.capacity() + Sending.capacity();
+  Share.set({Buffered + HeldByLine, Buffered >= HeldByLine});
 }
 
 void line_socket::send(std::string_view Text) {
@@ -86,6 +165,7 @@
   Outgoing.append(Text);
   if (!Writing && !Connecting)
     write();
+  reportHeld();
 }
 
 void line_socket::write() {
@@ -104,6 +184,8 @@
     if (!Error || Error == asio::error::would_block)
       Outgoing.erase(0, Error ? 0 : Sent);
     if (Outgoing.empty()) {
+      std::size_t Ignored = 0;
+      releaseLarge(Outgoing, Ignored);
       if (ClosesAfterSending)
         close();
       return;
@@ -112,23 +194,40 @@
   Writing = true;
   Sending.swap(Outgoing);
   Outgoing.clear();
-  asio::async_write(Socket, asio::buffer(Sending),
+  const auto CountPart = [Self = this](const boost::system::error_code &Failed,
+                                       std::size_t) -> std::size_t {
+    Self->Progress += 1;
+    return Failed ? 0 : MaxOutgoingBytes;
+  };
+  asio::async_write(Socket, asio::buffer(Sending), CountPart,
                     [Self = shared_from_this()](
                         boost::system::error_code Failed, std::size_t) {
-                      Self->Sending.clear();
-                      if (Self->Closed)
-                        return;
-                      if (Failed)
-                        Self->fail();
-                      else
-                        Self->write();
+                      Self->sent(Failed.failed());
                     });
 }
 
+void line_socket::sent(bool Failed) {
+  std::size_t Ignored = 0;
+  releaseLarge(Sending, Ignored);
+  if (Closed)
+    return;
+  if (Failed) {
+    fail();
+    return;
+  }
+  write();
+  if (!Share.isBound() || Closed || Delivering)
+    return;
+  if (pendingBytes() > 0)
+    deliver();
+  readOn();
+}
+
 void line_socket::close() {
   if (Closed)
     return;
   Closed = true;
+  Share.set({});
   boost::system::error_code Ignored;
   if (!Dialled)
     Socket.shutdown(tcp::socket::shutdown_both, Ignored);
--- a/src/serve/peer_links.cpp
+++ b/src/serve/peer_links.cpp
@@ -4,6 +4,7 @@
 #include "frame_socket.hpp"
 #include "peer_codec.hpp"
 
+#include <cstdlib>
 #include <utility>
 #include <vector>
 
@@ -13,6 +14,17 @@
 
 namespace {
 
+/// Peers send their first frame as soon as they are connected.
+constexpr unsigned MaxUnprovenSweeps = 30;
+/// Delay before the next connection is accepted when none could be, for want of
+/// a descriptor.
+constexpr duration AcceptDelay = std::chrono::milliseconds(100);
+
+/// \param Name "#number".
+std::uint64_t acceptedNumber(const std::string &Name) {
+  return std::strtoull(Name.c_str() + 1, nullptr, 10);
+}
+
 relay_answer decodeRelayAnswer(const std::string &Peer,
                                const wire::RelayAnswer &Message) {
   platform::http_answer Answer{Message.status(), textOf(Message.body())};
@@ -31,7 +43,7 @@
 peer_links::peer_links(boost::asio::io_context &Context, const endpoint &Where,
                        event_sink Sink, relay_handler Handler,
                        invalid_frame_handler OnInvalidFrame)
-    : Io(Context), Acceptor(Context, toAsio(Where), true),
+    : Io(Context), Acceptor(Context, toAsio(Where), true), AcceptTimer(Context),
       Events(std::move(Sink)), RelayHandler(std::move(Handler)),
       InvalidFrame(std::move(OnInvalidFrame)) {}
 
@@ -51,12 +63,61 @@
           [this, Name](const std::string &Frame) { frameArrived(Name, Frame); },
           [this, Name] { connectionEnded(Name); });
       Sockets[Name] = Link;
+      addUnproven(*Link);
       Link->start();
+      accept();
+      return;
     }
-    accept();
+    AcceptTimer.expires_after(AcceptDelay);
+    AcceptTimer.async_wait([this](boost::system::error_code Cancelled) {
+      if (!Cancelled)
+        accept();
+    });
   });
 }
 
+void peer_links::limitUnproven(
+    client_memory &ClientMemory, std::size_t MaxConnections,
+    std::function<void(std::string_view Event)> OnClose) {
+  Memory = &ClientMemory;
+  MaxUnproven = MaxConnections;
+  ReportClose = std::move(OnClose);
+}
+
+void peer_links::addUnproven(frame_socket &Link) {
+  if (Memory == nullptr)
+    return;
+  Link.countAsClient(*Memory, {proxy::client_kind::Peer, LastNumber});
+  Unproven[LastNumber] = 0;
+  if (Unproven.size() > MaxUnproven)
+    cutOff(Unproven.begin()->first, "peer.evicted");
+}
+
+void peer_links::cutOff(std::uint64_t Number, std::string_view Event) {
+  ReportClose(Event);
+  Unproven.erase(Number);
+  closeLink('#' + std::to_string(Number));
+}
+
+void peer_links::sweepUnproven() {
+  std::vector<std::uint64_t> Silent;
+  for (auto &[Number, Sweeps] : Unproven)
+    if (++Sweeps > MaxUnprovenSweeps)
+      Silent.push_back(Number);
+  for (const std::uint64_t Number : Silent)
+    cutOff(Number, "peer.unproven");
+}
+
+void peer_links::prove(const std::string &Name) {
+  if (Unproven.empty() || !Name.starts_with('#'))
+    return;
+  if (Unproven.erase(acceptedNumber(Name)) == 0)
+    return;
+  const auto Found = Sockets.find(Name);
+  if (Found != Sockets.end())
+    Found->second->trust();
+}
+
 peer_links::frame_socket &peer_links::findOrDial(const endpoint &Where) {
   const std::string Name = toText(Where);
   std::shared_ptr<frame_socket> &Link = Sockets[Name];
@@ -79,6 +140,7 @@
     closeLink(Name);
     return;
   }
+  prove(Name);
   const auto *Message = wire::GetSessionFrame(Bytes);
   if (const auto *Ask = Message->body_as_TokenAsk()) {
     Events(proxy::events::tokens_requested{
@@ -162,6 +224,8 @@
 
 void peer_links::connectionEnded(const std::string &Name) {
   Sockets.erase(Name);
+  if (!Unproven.empty() && Name.starts_with('#'))
+    Unproven.erase(acceptedNumber(Name));
   failRelaysOf(Relays, Name);
   Events(proxy::events::peer_lost{Name});
 }
--- a/src/serve/peer_links.hpp
+++ b/src/serve/peer_links.hpp
@@ -2,9 +2,12 @@
 /// for connection owners, votes of electors, and relayed calls to the platform.
 #pragma once
 
+#include "client_memory.hpp"
 #include "relay_table.hpp"
 #include "wiring.hpp"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -33,6 +36,13 @@
   peer_links(const peer_links &) = delete;
   peer_links &operator=(const peer_links &) = delete;
 
+  /// \brief Limits the accepted connections that have sent no valid frame.
+  void limitUnproven(client_memory &ClientMemory, std::size_t MaxConnections,
+                     std::function<void(std::string_view Event)> OnClose);
+  /// \brief Closes those that stay without one. Call it once a second.
+  void sweepUnproven();
+  /// \brief Closes an accepted connection.
+  void cutOff(std::uint64_t Number, std::string_view Event);
   void start();
   void carryOut(const proxy::effects::request_tokens &Effect);
   void carryOut(const proxy::effects::grant_tokens &Effect);
@@ -67,14 +77,23 @@
                       platform::http_call Call);
   void connectionEnded(const std::string &Name);
   void closeLink(const std::string &Name);
+  void addUnproven(frame_socket &Link);
+  /// Ends the limits of a connection that has sent a valid frame.
+  void prove(const std::string &Name);
 
   boost::asio::io_context &Io;
   boost::asio::ip::tcp::acceptor Acceptor;
+  boost::asio::steady_timer AcceptTimer;
   event_sink Events;
   relay_handler RelayHandler;
   invalid_frame_handler InvalidFrame;
   /// Keyed by "address:port" when dialled, by "#number" when accepted.
   std::map<std::string, std::shared_ptr<frame_socket>> Sockets;
+  client_memory *Memory = nullptr; ///< Null: no limit.
+  std::size_t MaxUnproven = 0;
+  std::function<void(std::string_view Event)> ReportClose;
+  /// Sweeps since the connection was accepted, by its number.
+  std::map<std::uint64_t, unsigned> Unproven;
   relay_table Relays;
   std::uint64_t LastNumber = 0;
 };
--- a/src/serve/serve_settings.cpp
+++ b/src/serve/serve_settings.cpp
@@ -7,6 +7,9 @@
 
 #include <boost/leaf/handle_errors.hpp>
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <charconv>
 
 namespace bronzespar::serve {
@@ -33,6 +36,9 @@
 /// Calls to the store take up to a few hundred milliseconds.
 constexpr duration MinSettingsDeadline = std::chrono::milliseconds(1000);
 
+constexpr std::size_t MinMemoryMb = 32;
+constexpr std::size_t MinDescriptors = 128;
+
 /// Whether an optional setting has a value. A platform that does not know the
 /// field of the template leaves nothing, or the braces.
 bool isFilled(const ini_entry *Entry) {
@@ -73,6 +79,28 @@
   return Value;
 }
 
+/// \returns Nothing when the setting is not filled in.
+std::optional<std::size_t> limitOf(const std::vector<ini_section> &Sections,
+                                   std::string_view Name, std::size_t Least) {
+  if (!isFilled(findIn(Sections, "limits", Name)))
+    return std::nullopt;
+  constexpr double Most = 1e9;
+  const double Value = numberOf(Sections, "limits", Name);
+  if (Value < static_cast<double>(Least) || Value > Most)
+    throw badValue(entryOf(Sections, "limits", Name),
+                   "between " + std::to_string(Least) + " and 1000000000");
+  return static_cast<std::size_t>(Value);
+}
+
+/// The soft limit of the process.
+std::size_t descriptorLimit() noexcept {
+  constexpr std::size_t Unlimited = 65536;
+  rlimit Limit{};
+  if (getrlimit(RLIMIT_NOFILE, &Limit) != 0)
+    return Unlimited;
+  return std::min<std::size_t>(Limit.rlim_cur, Unlimited);
+}
+
 duration millisecondsOf(double Number) {
   return duration(static_cast<duration::rep>(Number * 1000));
 }
@@ -103,6 +131,10 @@
   if (Settings.SettingsDeadline < MinSettingsDeadline)
     throw badValue(entryOf(Sections, "bounds", "settings_ms"),
                    "at least 1000 ms");
+  Settings.MemoryMb =
+      limitOf(Sections, "memory_mb", MinMemoryMb).value_or(Settings.MemoryMb);
+  Settings.MaxDescriptors =
+      limitOf(Sections, "max_fds", MinDescriptors).value_or(descriptorLimit());
   return Settings;
 }
 
--- a/src/serve/serve_settings.hpp
+++ b/src/serve/serve_settings.hpp
@@ -21,6 +21,11 @@
   /// A version of the operators' document is in force this long after its
   /// confirmation; the setting `settings_ms`.
   duration SettingsDeadline = proxy::DefaultSettingsDeadline;
+  /// Memory of the machine in MB; the optional setting `memory_mb`.
+  std::size_t MemoryMb = 1024;
+  /// File descriptors of the process; the optional setting `max_fds`, else the
+  /// process's limit.
+  std::size_t MaxDescriptors = 0;
   endpoint PromotionEndpoint; ///< Takes orders to promote; the setting `duty`.
 };
 
--- a/src/serve/session_daemon.cpp
+++ b/src/serve/session_daemon.cpp
@@ -37,8 +37,15 @@
                  std::function<std::string()> RereadSettings)
       : Reread(std::move(RereadSettings)),
         LateProofAge(Settings.SettingsDeadline * 6 / 10),
+        Memory(Io, Settings.MemoryMb,
+               [this](proxy::client_holder Holder, std::size_t Bytes) {
+                 closeHolder(Holder, Bytes);
+               }),
         Host(proxy::makeHost(Settings.Identity)), TickTimer(Io), Signals(Io),
-        Callers(Io, Settings.Callers, sink()), Targets(Io, sink()),
+        Limits(proxy::makeConnectionLimits(Settings.MaxDescriptors)),
+        Callers(Io, Settings.Callers, sink(), Memory, Limits.Callers,
+                [this](std::string_view Event) { writeLog(Event, {}); }),
+        Targets(Io, sink()),
         Peers(
             Io, Settings.Identity.PeerEndpoint, sink(),
             [this](platform::http_call Call, relay_callback Done) {
@@ -66,11 +73,18 @@
             bootNow, Settings.SettingsDeadline),
         Readiness(
             Io, Settings.Readiness,
-            [this](const std::string &Path) { return answerReadiness(Path); }),
-        Metrics(Io, Settings.Metrics, [this](const std::string &) {
-          Meters.StoreCalls = Gateway.callCounts();
-          return text_answer{StatusReady, formatMeters(Meters)};
-        }) {
+            [this](const std::string &Path) { return answerReadiness(Path); },
+            Limits.Monitors),
+        Metrics(
+            Io, Settings.Metrics,
+            [this](const std::string &) {
+              Meters.StoreCalls = Gateway.callCounts();
+              return text_answer{StatusReady, formatMeters(Meters)};
+            },
+            Limits.Monitors) {
+    Peers.limitUnproven(
+        Memory, Limits.UnprovenPeers,
+        [this](std::string_view Event) { writeLog(Event, {}); });
     Log.Host = Settings.Identity.Name;
     Gateway.setWatchServer(
         [this](const platform::http_call &Call, platform::http_callback Done) {
@@ -104,6 +118,28 @@
                                        : "none"}});
   }
 
+  /// Ends a connection because clients hold too much memory together.
+  void closeHolder(proxy::client_holder Holder, std::size_t Bytes) {
+    writeLog("memory.exceeded",
+             {{"client", std::string(enumName(Holder.Kind))},
+              {"number", std::to_string(Holder.Number)},
+              {"bytes", std::to_string(Bytes)},
+              {"held_bytes", std::to_string(Memory.budget().Held)}});
+    if (Holder.Kind == proxy::client_kind::Caller)
+      Callers.cutOff(Holder.Number, "caller.oversized");
+    else
+      Peers.cutOff(Holder.Number, "peer.oversized");
+  }
+
+  /// Once a second.
+  void sweepClients() {
+    if (bootNow() < NextSweep)
+      return;
+    NextSweep = bootNow() + caller_listener::SweepInterval;
+    Callers.sweep();
+    Peers.sweepUnproven();
+  }
+
   text_answer answerReadiness(const std::string &Path) const {
     if (Path != platform::ReadinessPath)
       return {StatusUnknownPath, "no such path\n"};
@@ -182,7 +218,7 @@
       if (Cancelled)
         return;
       post(proxy::events::tick{});
-      Callers.closeUnstarted(bootNow());
+      sweepClients();
       Gateway.checkIsolation(bootNow());
       Gateway.reportCalls(bootNow());
       Peers.expireRelays(bootNow());
@@ -226,6 +262,8 @@
   std::function<std::string()> Reread;
   duration LateProofAge; ///< An answer with an older proof is logged.
 
+  /// Outlives the connections, the last of which end with Io.
+  client_memory Memory;
   asio::io_context Io{1};
   proxy::host_pointer Host;
   std::deque<proxy::event> Events;
@@ -236,6 +274,8 @@
   meters Meters;
   asio::steady_timer TickTimer;
   asio::signal_set Signals;
+  instant NextSweep{};
+  proxy::connection_limits Limits;
   caller_listener Callers;
   target_links Targets;
   peer_links Peers;
--- a/src/serve/text_server.cpp
+++ b/src/serve/text_server.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http.hpp>
 
 #include <memory>
+#include <optional>
 
 namespace bronzespar::serve {
 
@@ -16,6 +17,10 @@
 
 /// A connection without a complete request for this long is closed.
 constexpr auto IdleTimeout = std::chrono::seconds(15);
+constexpr std::uint32_t MaxHeaderBytes = 8192;
+/// Delay before the next connection is accepted when none could be, for want of
+/// a descriptor.
+constexpr auto AcceptDelay = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -24,10 +29,11 @@
       : Stream(std::move(Socket)), Answer(Handler) {}
 
   void read() {
-    Request = {};
+    Parser.emplace();
+    Parser->header_limit(MaxHeaderBytes);
     Stream.expires_after(IdleTimeout);
     http::async_read(
-        Stream, Buffer, Request,
+        Stream, Buffer, *Parser,
         [Self = shared_from_this()](beast::error_code Failed, std::size_t) {
           if (!Failed)
             Self->write();
@@ -35,6 +41,7 @@
   }
 
   void write() {
+    const auto &Request = Parser->get();
     text_answer Out = Answer(std::string(Request.target()));
     Response = {};
     Response.version(Request.version());
@@ -53,14 +60,16 @@
 
   beast::tcp_stream Stream;
   const handler &Answer;
-  beast::flat_buffer Buffer;
-  http::request<http::string_body> Request;
+  beast::flat_buffer Buffer{std::size_t{2} * MaxHeaderBytes};
+  /// A request has no body; one with a body is an error.
+  std::optional<http::request_parser<http::empty_body>> Parser;
   http::response<http::string_body> Response;
 };
 
 text_server::text_server(boost::asio::io_context &Io, const endpoint &Where,
-                         handler Handler)
-    : Acceptor(Io, toAsio(Where), true), Answer(std::move(Handler)) {}
+                         handler Handler, std::size_t MaxOpen)
+    : Acceptor(Io, toAsio(Where), true), AcceptTimer(Io),
+      Answer(std::move(Handler)), MaxConnections(MaxOpen) {}
 
 void text_server::start() { accept(); }
 
@@ -69,10 +78,29 @@
       [this](boost::system::error_code Failed, tcp::socket Socket) {
         if (!Acceptor.is_open())
           return;
-        if (!Failed)
-          std::make_shared<connection>(std::move(Socket), Answer)->read();
-        accept();
+        if (!Failed) {
+          add(std::move(Socket));
+          accept();
+          return;
+        }
+        AcceptTimer.expires_after(AcceptDelay);
+        AcceptTimer.async_wait([this](boost::system::error_code Cancelled) {
+          if (!Cancelled)
+            accept();
+        });
       });
 }
 
+void text_server::add(tcp::socket Socket) {
+  Connections.remove_if([](const auto &Each) { return Each.expired(); });
+  if (Connections.size() >= MaxConnections) {
+    if (const auto Oldest = Connections.front().lock())
+      Oldest->Stream.close();
+    Connections.pop_front();
+  }
+  const auto Added = std::make_shared<connection>(std::move(Socket), Answer);
+  Connections.push_back(Added);
+  Added->read();
+}
+
 } // namespace bronzespar::serve
--- a/tests/serve/settings_tests.cpp
+++ b/tests/serve/settings_tests.cpp
@@ -59,6 +59,21 @@
   }
   CHECK_FALSE(parseServeSettings(ValidSettings + "settings_ms = 20\n", Fault));
   CHECK(Fault == "line 15: settings_ms is not at least 1000 ms");
+  CHECK(Settings->MemoryMb == 1024);
+  CHECK(Settings->MaxDescriptors >= 128);
+  const auto Limited = parseServeSettings(
+      ValidSettings + "[limits]\nmemory_mb = 160\nmax_fds = 8192\n", Fault);
+  REQUIRE(Limited);
+  CHECK(Limited->MemoryMb == 160);
+  CHECK(Limited->MaxDescriptors == 8192);
+  const auto Unlimited = parseServeSettings(
+      ValidSettings + "[limits]\nmemory_mb = \nmax_fds = {{Limits.MaxFds}}\n",
+      Fault);
+  REQUIRE(Unlimited);
+  CHECK(Unlimited->MemoryMb == 1024);
+  CHECK_FALSE(
+      parseServeSettings(ValidSettings + "[limits]\nmemory_mb = 1\n", Fault));
+  CHECK(Fault == "line 16: memory_mb is not between 32 and 1000000000");
   std::string Missing = ValidSettings;
   Missing.erase(Missing.find("duty"),
                 std::string("duty = 10.200.0.2:8466\n").size());
