--- a/src/serve/peer_links.cpp
+++ b/src/serve/peer_links.cpp
@@ -5,6 +5,7 @@
 #include "peer_codec.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 #include <vector>
 
@@ -31,6 +32,17 @@
   return Call;
 }
 
+/// Peers send their first frame as soon as they are connected.
+constexpr unsigned MaxUnprovenSweeps = 30;
+/// Delay before the next connection is accepted when none could be, for want of
+/// a descriptor.
+constexpr duration AcceptDelay = std::chrono::milliseconds(100);
+
+/// \param Name "#number".
+std::uint64_t acceptedNumber(const std::string &Name) {
+  return std::strtoull(Name.c_str() + 1, nullptr, 10);
+}
+
 relay_answer decodeRelayAnswer(const std::string &Peer,
                                const wire::RelayAnswer &Message) {
   platform::http_answer Answer{Message.status(), textOf(Message.body())};
@@ -62,7 +74,7 @@
 peer_links::peer_links(boost::asio::io_context &Context, const endpoint &Where,
                        event_sink Sink, relay_handler Handler,
                        invalid_frame_handler OnInvalidFrame)
-    : Io(Context), Acceptor(Context, toAsio(Where), true),
+    : Io(Context), Acceptor(Context, toAsio(Where), true), AcceptTimer(Context),
       Events(std::move(Sink)), RelayHandler(std::move(Handler)),
       InvalidFrame(std::move(OnInvalidFrame)) {}
 
@@ -77,10 +89,18 @@
           return;
         if (!Failed) {
           const std::string Name = '#' + std::to_string(++LastNumber);
-          Sockets[Name] = makeSocket(std::move(Socket), Name);
-          Sockets[Name]->start();
+          const auto Link = makeSocket(std::move(Socket), Name);
+          Sockets[Name] = Link;
+          addUnproven(*Link);
+          Link->start();
+          accept();
+          return;
         }
-        accept();
+        AcceptTimer.expires_after(AcceptDelay);
+        AcceptTimer.async_wait([this](boost::system::error_code Cancelled) {
+          if (!Cancelled)
+            accept();
+        });
       });
 }
 
@@ -99,6 +119,48 @@
   return Link;
 }
 
+void peer_links::limitUnproven(
+    client_memory &ClientMemory, std::size_t MaxConnections,
+    std::function<void(std::string_view Event)> OnClose) {
+  Memory = &ClientMemory;
+  MaxUnproven = MaxConnections;
+  ReportClose = std::move(OnClose);
+}
+
+void peer_links::addUnproven(frame_socket &Link) {
+  if (Memory == nullptr)
+    return;
+  Link.countAsClient(*Memory, {proxy::client_kind::Peer, LastNumber});
+  Unproven[LastNumber] = 0;
+  if (Unproven.size() > MaxUnproven)
+    cutOff(Unproven.begin()->first, "peer.evicted");
+}
+
+void peer_links::cutOff(std::uint64_t Number, std::string_view Event) {
+  ReportClose(Event);
+  Unproven.erase(Number);
+  closeLink('#' + std::to_string(Number));
+}
+
+void peer_links::sweepUnproven() {
+  std::vector<std::uint64_t> Silent;
+  for (auto &[Number, Sweeps] : Unproven)
+    if (++Sweeps > MaxUnprovenSweeps)
+      Silent.push_back(Number);
+  for (const std::uint64_t Number : Silent)
+    cutOff(Number, "peer.unproven");
+}
+
+void peer_links::prove(const std::string &Name) {
+  if (Unproven.empty() || !Name.starts_with('#'))
+    return;
+  if (Unproven.erase(acceptedNumber(Name)) == 0)
+    return;
+  const auto Found = Sockets.find(Name);
+  if (Found != Sockets.end())
+    Found->second->trust();
+}
+
 peer_links::frame_socket &peer_links::findOrDial(const endpoint &Where) {
   const std::string Name = toText(Where);
   std::shared_ptr<frame_socket> &Link = Sockets[Name];
@@ -133,6 +195,7 @@
     closeLink(Name);
     return;
   }
+  prove(Name);
   const auto *Message = wire::GetSessionFrame(Bytes);
   if (const auto *Ask = Message->body_as_TokenAsk()) {
     Events(proxy::events::tokens_requested{
@@ -229,6 +292,8 @@
   if (Current == Sockets.end() || !Current->second->isClosed())
     return;
   Sockets.erase(Current);
+  if (!Unproven.empty() && Name.starts_with('#'))
+    Unproven.erase(acceptedNumber(Name));
   failRelaysOf(Relays, Name);
   Events(proxy::events::peer_lost{Name});
 }
