--- a/src/serve/store_watch.cpp
+++ b/src/serve/store_watch.cpp
@@ -77,8 +77,9 @@
 std::optional<proxy::proof_demand> store_watch::demand() const {
   if (proxy::isProven(Proof) || RestoredAt == instant::min())
     return proxy::demandOf(Proof, Timing);
-  // A restore leaves no proof; the next one is due as if from then on.
-  return proxy::demandOf({RestoredAt, 0}, Timing);
+  // A restore leaves no proof. The next one is overdue at once, so that the
+  // read does not use a connection that may have gone silent in the outage.
+  return proxy::demandOf({RestoredAt - Timing.MaxProofAge, 0}, Timing);
 }
 
 void store_watch::scheduleCall(duration Delay) {
--- a/tests/serve/restored_watch_tests.cpp
+++ b/tests/serve/restored_watch_tests.cpp
@@ -111,9 +111,10 @@
   informed_watch Prefix;
   Prefix.Now = Start + 5s;
   Prefix.answer(inEra(2, {410, {}}));
-  // The next proof is due as if one had come with the restore.
-  REQUIRE(Prefix.Calls.front().Call.Demand);
-  CHECK(Prefix.Calls.front().Call.Demand->ProvenAt == Start + 5s);
+  // The next proof is overdue at once.
+  const auto &Demand = Prefix.Calls.front().Call.Demand;
+  REQUIRE(Demand);
+  CHECK(Demand->ProvenAt + Demand->MaxAge == Start + 5s);
   const auto Early = Prefix.watchAsPeer(orderedRevision(2, 4));
   REQUIRE(Early->has_value());
   CHECK((*Early)->Status == 503);
--- a/tests/serve/store_era_tests.cpp
+++ b/tests/serve/store_era_tests.cpp
@@ -98,9 +98,9 @@
   Host.answerDirectly(200, 1);
   CHECK(Host.Order == names{"era 1", "200"});
   Host.answerDirectly(429, 2);
+  CHECK(Host.PollsEnded == 10); // Of five channels, for each era.
   Host.answerDirectly(200, 2);
   CHECK(Host.Order == names{"era 1", "200", "era 2", "429", "200"});
-  CHECK(Host.PollsEnded == 10); // Of five channels, for each era.
 }
 
 TEST_CASE("A store that tells no era is served as before") {
