Begin the restores of fleets with owners at a seed that shows a variant

Cause: none of the 60 seeds showed a host that confirms records without a right. Change: the second case begins at 4005; 4032 shows it.

--- a/tests/proxy/restore_tests.cpp
+++ b/tests/proxy/restore_tests.cpp
@@ -6,7 +6,11 @@
 
 namespace {
 
+/// The seeds from here on include some that show a host which uses records that
+/// are not confirmed.
 constexpr unsigned FirstSeed = 3000;
+/// The same of a host that confirms records without a right.
+constexpr unsigned FirstOwnedSeed = 4005;
 constexpr unsigned Seeds = 30;
 /// A fleet serves again this long after its store is back.
 constexpr duration RecoveryTime = 15s;
@@ -92,7 +96,7 @@
 
 void runRestores(bool Owned, duration MostPromotionTime) {
   run_plan Plan;
-  Plan.FirstSeed = FirstSeed;
+  Plan.FirstSeed = Owned ? FirstOwnedSeed : FirstSeed;
   Plan.Seeds = Seeds;
   Plan.Owned = Owned;
   Plan.LeastPromotionTime = 1s;
