--- a/tests/proxy/restored_store_tests.cpp
+++ b/tests/proxy/restored_store_tests.cpp
@@ -253,9 +253,17 @@
 
 TEST_CASE("A coordinator orders nothing before rights of the earlier era have "
           "ended") {
-  host_driver Driver = makeRestored();
+  host_driver Driver;
+  Driver.Host->Identity.MinimumLease = 5s;
+  Driver.send(events::store_restored{2});
+  Driver.Revision = firstRevision(2);
+  Driver.send(events::record_changed{
+      {std::string(CoordinatorKey), "host-9", ++Driver.Revision, 9}});
   const instant KnownAt = Driver.Now;
-  CHECK(earlierErasEnd(*Driver.Host) >= KnownAt + 1600ms + 700ms);
+  becomeCoordinator(Driver);
+  REQUIRE(Driver.Host->Coordinator.IsHeld);
+  CHECK(Driver.Host->Coordinator.OrdersFrom >= KnownAt + 5s + 700ms);
+  CHECK(Driver.Host->Coordinator.OrdersFrom != instant::max());
 }
 
 TEST_CASE("Records name their era") {
