--- a/tests/platform/evacuation_key_tests.cpp
+++ b/tests/serve/evacuation_key_tests.cpp
@@ -1,6 +1,6 @@
 /// Tests of the operators' requests to evacuate data centres, from the answers
 /// of the store to the events of the host.
-#include <platform/store_client.hpp>
+#include <serve/store_client.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -12,6 +12,7 @@
 
 using namespace bronzespar;
 using namespace bronzespar::platform;
+using namespace bronzespar::serve;
 
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusHistoryLost = 410;
