--- a/src/serve/client_memory.hpp
+++ b/src/serve/client_memory.hpp
@@ -9,7 +9,8 @@
 
 namespace bronzespar::serve {
 
-/// \brief The budget of a process, shared by its listeners.
+/// \brief The budget of a process, shared by its listeners. It must outlive all
+/// connections, also those that end only with the event loop.
 class client_memory {
 public:
   using close_handler =
--- a/tests/serve/line_socket_tests.cpp
+++ b/tests/serve/line_socket_tests.cpp
@@ -24,6 +24,11 @@
 
 /// A listener, and the events that it raised.
 struct listening_host {
+  /// Outlives the connections, the last of which end with Io.
+  serve::client_memory Memory{
+      Io, 64, [this](proxy::client_holder Holder, std::size_t) {
+        Callers.cutOff(Holder.Number, "caller.oversized");
+      }};
   asio::io_context Io;
   endpoint Where{"127.0.0.1", freePort(Io)};
   std::vector<std::string> Statements;
@@ -31,10 +36,6 @@
   std::size_t Ended = 0;
   bool Answers = true;
   std::size_t RowBytes = 10;
-  serve::client_memory Memory{
-      Io, 64, [this](proxy::client_holder Holder, std::size_t) {
-        Callers.cutOff(Holder.Number, "caller.oversized");
-      }};
   serve::caller_listener Callers{Io,
                                  Where,
                                  [this](proxy::event Event) { handle(Event); },
