Say in each host's own record that it divides rates by data centre

Cause: 12 proxy tests failed: an own record that tests echo without the new field looked changed, and the host wrote it again. Change: a host's record always carries the field, except where a coordinator revokes another host's record; a test that rates are divided as by an earlier version while such a host is listed.

--- a/src/proxy/records.cpp
+++ b/src/proxy/records.cpp
@@ -109,7 +109,9 @@
                       {"blind", toObject(Record.UnreachablePrimaries)}};
   if (Record.Revoked)
     Object["revoked"] = true;
-  if (Record.GrantsByDataCentre)
+  // A host formats its own record. Only a revocation formats that of another
+  // one, which may be of an earlier version.
+  if (Record.GrantsByDataCentre || !Record.Revoked)
     Object["grants_by_data_centre"] = true;
   if (Record.LinkMbps > 0)
     Object["link_mbps"] = Record.LinkMbps;
--- a/tests/proxy/demand_limit_tests.cpp
+++ b/tests/proxy/demand_limit_tests.cpp
@@ -452,3 +452,22 @@
   tokensGranted(Wakes, {toText(Ask->Peer), {Account, 5}});
   CHECK_FALSE(admitOperation(Wakes, Account));
 }
+
+TEST_CASE("Rates are divided as by an earlier version while such a host is "
+          "listed") {
+  // Two divisions at a time would refill up to twice the rate.
+  demand_fleet Fleet(166, 166);
+  host &Host = *Fleet.Hosts[17];
+  Host.Hosts.at(demand_fleet::nameOf(40)).Record.GrantsByDataCentre = false;
+  Fleet.run(1s, loadEverywhere(0));
+  std::vector<std::string> Names;
+  for (const auto &[Name, Peer] : Host.Hosts)
+    Names.push_back(Name);
+  CHECK(Host.Allowances.Accounts.at(Account).RefillingHosts ==
+        refillingHostsFor({Account, 166, 166}, Names));
+  Host.Hosts.at(demand_fleet::nameOf(40)).Record.GrantsByDataCentre = true;
+  Host.HostsVersion += 1;
+  Fleet.run(1s, loadEverywhere(0));
+  CHECK(Host.Allowances.Accounts.at(Account).RefillingHosts.size() ==
+        DataCentreCount);
+}
