--- a/src/serve/peer_links.hpp
+++ b/src/serve/peer_links.hpp
@@ -60,9 +60,11 @@
   /// \brief Sends a call through a peer; Callback runs once.
   void relay(const endpoint &Peer, const platform::http_call &Call,
              relay_callback Callback);
-  /// \brief Fails relayed calls whose peer did not answer before the deadline,
-  /// checks connections that are silent, and closes those that were replaced.
+  /// \brief Checks connections that are silent, closes those that were
+  /// replaced, and expires relays.
   void supervise(instant Now);
+  /// \brief Fails relayed calls whose peer did not answer before the deadline.
+  void expireRelays(instant Now);
   /// \brief Fails relayed watches that are not answered yet, so that they are
   /// sent anew.
   void abandonWatches();
@@ -95,7 +97,6 @@
   void closeRetired(const std::string &Name);
   void superviseChecks(instant Now);
   void superviseRetired(instant Now);
-  void expireRelays(instant Now);
   /// Refuses a statement of a host that speaks another forward protocol.
   void forwardArrived(const std::string &Name,
                       const session_wire::ForwardAsk &Ask);
--- a/tests/proxy/link_watch_tests.cpp
+++ b/tests/proxy/link_watch_tests.cpp
@@ -28,6 +28,8 @@
   effects::forward sendRead(const std::string &Id) {
     Driver.sendStatement(Driver.openSession("live"), Id, statement_kind::Read,
                          "READ 1");
+    for (const auto &Asked : Driver.takeEffects<effects::request_tokens>())
+      Driver.send(events::tokens_granted{toText(Asked.Peer), Asked.Wanted});
     const auto Forwards = Driver.takeEffects<effects::forward>();
     REQUIRE(Forwards.size() == 1);
     return Forwards.front();
