--- a/include/bronzespar/proxy/allowance.hpp
+++ b/include/bronzespar/proxy/allowance.hpp
@@ -103,6 +103,9 @@
 /// refilled in its place while it was down.
 void grantStartupTokens(allowance_table &Table);
 
+/// \brief Drops all tokens, and those that would have formed until now.
+void dropTokens(allowance_table &Table, instant Now);
+
 /// \brief Stops refilling until rates are divided again. Tokens that are
 /// already in the buckets stay.
 void stopRefilling(allowance_table &Table, instant Now);
--- a/platform/store_revision.hpp
+++ b/include/bronzespar/proxy/store_revision.hpp
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-namespace bronzespar::platform {
+namespace bronzespar::proxy {
 
 /// The store's own revision stays below 2^EraShift.
 inline constexpr unsigned EraShift = 40;
@@ -29,4 +29,4 @@
   return Ordered & ((std::uint64_t{1} << EraShift) - 1);
 }
 
-} // namespace bronzespar::platform
+} // namespace bronzespar::proxy
--- a/src/proxy/allowance.cpp
+++ b/src/proxy/allowance.cpp
@@ -230,6 +230,14 @@
   }
 }
 
+void dropTokens(allowance_table &Table, instant Now) {
+  for (auto &[Name, Allowance] : Table.Accounts) {
+    Allowance.Received.clear();
+    Allowance.Bucket.Tokens = 0;
+    Allowance.Bucket.RefilledAt = Now;
+  }
+}
+
 void stopRefilling(allowance_table &Table, instant Now) {
   for (auto &[Name, Allowance] : Table.Accounts)
     resizeBucket(Allowance.Bucket, 0, Allowance.Bucket.Burst, Now);
--- a/src/proxy/host.cpp
+++ b/src/proxy/host.cpp
@@ -145,6 +145,7 @@
   step_context Step{State, Now, Effects};
   if (State.StartedAt == instant{})
     State.StartedAt = Now;
+  noteStepGap(Step);
   std::visit(event_handler{Step}, Event);
   placeWaiting(Step);
 }
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -451,6 +451,9 @@
 void returnTransactionToken(step_context &Step, caller_session &Session);
 /// \brief Counts an operation that was refused for lack of a token.
 void countRefusal(host &State, const std::string &Account);
+/// \brief Gives up all tokens after a gap between two steps in which the host
+/// was suspended.
+void noteStepGap(step_context &Step);
 /// \brief Time after which an operation without a token should be retried.
 [[nodiscard]] duration untilNextToken(const host &State,
                                       const std::string &Account, instant Now);
--- a/src/proxy/rates.cpp
+++ b/src/proxy/rates.cpp
@@ -52,6 +52,10 @@
 /// outage, the hosts that are live have registered again by then.
 constexpr duration ExpiredHostSharePeriod = std::chrono::milliseconds(700);
 
+/// A host steps with every tick. Longer gaps show that it was suspended; its
+/// lease may have ended meanwhile, and others have refilled in its place.
+constexpr duration MaxStepGap = std::chrono::milliseconds(1000);
+
 /// Whether this host's buckets may refill. While a host is isolated or not
 /// registered, the others divide its share.
 bool mayRefill(const host &State, instant Now) {
@@ -245,6 +249,15 @@
 
 } // namespace
 
+void noteStepGap(step_context &Step) {
+  host &State = Step.State;
+  const bool WasSuspended =
+      State.SteppedAt != instant{} && Step.Now - State.SteppedAt > MaxStepGap;
+  State.SteppedAt = Step.Now;
+  if (WasSuspended)
+    dropTokens(State.Allowances, Step.Now);
+}
+
 bool admitOperation(step_context &Step, const std::string &Account) {
   if (takeToken(Step.State.Allowances, Account, Step.Now))
     return true;
--- a/src/proxy/restored_store.cpp
+++ b/src/proxy/restored_store.cpp
@@ -9,6 +9,8 @@
 /// (docs/design/restored-decisions.md).
 #include "parts.hpp"
 
+#include <bronzespar/proxy/store_revision.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -19,8 +21,6 @@
 /// An order of an earlier era has arrived this long after its coordinator's
 /// lease has ended.
 constexpr duration MaxOrderDelay = std::chrono::milliseconds(700);
-/// Revisions of an era begin at the era, shifted by this.
-constexpr unsigned RevisionBits = 40;
 /// Hosts register again one after the other, with this delay between them, in
 /// at most MaxReturnSpread.
 constexpr duration ReturnSpacing = std::chrono::milliseconds(2);
@@ -219,7 +219,7 @@
 }
 
 bool isOfPresentEra(const host &State, std::uint64_t Revision) {
-  return Revision >> RevisionBits >= State.StoreEra;
+  return eraOf(Revision) >= State.StoreEra;
 }
 
 bool keepsRefilling(const host &State, instant Now) {
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -466,6 +466,7 @@
   vote_round Votes;
   coordinator_state Coordinator;
   instant StartedAt{}; ///< Time of this process's first step.
+  instant SteppedAt{}; ///< Time of its latest step.
   bool StoreReached = false;
   /// Era of the store that this host knows; see restored_store.cpp.
   std::uint64_t StoreEra = 0;
--- a/src/serve/store_client.cpp
+++ b/src/serve/store_client.cpp
@@ -1,9 +1,9 @@
 /// Calls to the platform and the events made of their answers.
 #include "store_client.hpp"
 
+#include <bronzespar/proxy/store_revision.hpp>
 #include <platform/operator_document.hpp>
 #include <platform/store_codec.hpp>
-#include <platform/store_revision.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -151,8 +151,8 @@
         return true;
       }
       // A host of an earlier version tells no era, and knows of none.
-      Watch->servePeer(platform::orderedRevision(Call.Era.value_or(Era),
-                                                 Request->AfterRevision),
+      Watch->servePeer(proxy::orderedRevision(Call.Era.value_or(Era),
+                                              Request->AfterRevision),
                        std::move(Done));
       return true;
     }
@@ -254,7 +254,7 @@
 }
 
 bool store_client::isOutdated(std::uint64_t Revision) const noexcept {
-  return Revision != 0 && platform::eraOf(Revision) < Era;
+  return Revision != 0 && proxy::eraOf(Revision) < Era;
 }
 
 void store_client::carryOut(const proxy::effects::change_records &Change) {
--- a/src/serve/store_watch.cpp
+++ b/src/serve/store_watch.cpp
@@ -1,7 +1,7 @@
 /// Reading and watching of a prefix.
 #include "store_watch.hpp"
 
-#include <platform/store_revision.hpp>
+#include <bronzespar/proxy/store_revision.hpp>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -263,7 +263,7 @@
 void store_watch::servePeer(std::uint64_t AfterRevision,
                             platform::http_callback Done) {
   const instant Now = Clock();
-  if (!HasRead || platform::eraOf(AfterRevision) > Era) {
+  if (!HasRead || proxy::eraOf(AfterRevision) > Era) {
     Done(refusalToPeer(StatusUnavailable));
     return;
   }
--- a/tests/platform/codec_tests.cpp
+++ b/tests/platform/codec_tests.cpp
@@ -1,9 +1,9 @@
 /// Tests of the codecs: line protocol, operator's document, targets' entries
 /// and the store's answers.
+#include <bronzespar/proxy/store_revision.hpp>
 #include <platform/line_codec.hpp>
 #include <platform/operator_document.hpp>
 #include <platform/store_codec.hpp>
-#include <platform/store_revision.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -314,7 +314,7 @@
   REQUIRE(First);
   REQUIRE(Later);
   CHECK(First->Revision < Later->Records.front().Revision);
-  CHECK(eraOf(Later->Revision) == 2);
+  CHECK(proxy::eraOf(Later->Revision) == 2);
   CHECK(parseRange(Body)->Revision == 9);
   CHECK(parseRevision(R"({"Revision":0})", 2) == 0);
   const http_call Watch = watchCall("op/", Later->Revision, 1s, 1s);
--- a/tests/proxy/rates_tests.cpp
+++ b/tests/proxy/rates_tests.cpp
@@ -165,3 +165,19 @@
   Fleet.expireAllLeases();
   CHECK(Fleet.sendMaxLoad(5s) <= MaxAdmitted);
 }
+
+// Others refill in place of a host whose lease has ended while it was
+// suspended. Its first step afterwards handled a statement before any tick.
+TEST_CASE("A host that was suspended has no tokens from before or meanwhile") {
+  host_driver Driver;
+  Driver.becomeReady();
+  Driver.advanceTime(500ms);
+  auto &Accounts = Driver.Host->Allowances.Accounts;
+  REQUIRE_FALSE(Accounts.empty());
+  account_allowance &Allowance = Accounts.begin()->second;
+  REQUIRE(Allowance.Bucket.Tokens >= 1);
+  Driver.Now += 4s;
+  Driver.send(events::forward_pending{"#1"});
+  refillBucket(Allowance.Bucket, Driver.Now);
+  CHECK(Allowance.Bucket.Tokens < 1);
+}
--- a/tests/serve/restored_watch_tests.cpp
+++ b/tests/serve/restored_watch_tests.cpp
@@ -2,7 +2,7 @@
 /// are given out again, in the next era.
 #include "watch_fixture.hpp"
 
-#include <platform/store_revision.hpp>
+#include <bronzespar/proxy/store_revision.hpp>
 
 using namespace watch_test;
 
@@ -115,7 +115,7 @@
   const auto &Demand = Prefix.Calls.front().Call.Demand;
   REQUIRE(Demand);
   CHECK(Demand->ProvenAt + Demand->MaxAge == Start + 5s);
-  const auto Early = Prefix.watchAsPeer(orderedRevision(2, 4));
+  const auto Early = Prefix.watchAsPeer(proxy::orderedRevision(2, 4));
   REQUIRE(Early->has_value());
   CHECK((*Early)->Status == 503);
   CHECK_FALSE((*Early)->Proof);
@@ -139,7 +139,7 @@
 
 TEST_CASE("Peers that wait through a restore are told its era") {
   informed_watch Prefix;
-  const auto Waiting = Prefix.watchAsPeer(orderedRevision(1, 9));
+  const auto Waiting = Prefix.watchAsPeer(proxy::orderedRevision(1, 9));
   CHECK_FALSE(Waiting->has_value());
   Prefix.answer(inEra(2, {410, {}}));
   REQUIRE(Waiting->has_value());
@@ -147,19 +147,19 @@
   CHECK((*Waiting)->Era == 2);
   Prefix.answer(inEra(2, Copy));
   SECTION("a peer that has not noticed reads again") {
-    const auto Late = Prefix.watchAsPeer(orderedRevision(1, 9));
+    const auto Late = Prefix.watchAsPeer(proxy::orderedRevision(1, 9));
     REQUIRE(Late->has_value());
     CHECK((*Late)->Status == 410);
     CHECK((*Late)->Era == 2);
   }
   SECTION("a peer that knows of a later restore asks elsewhere") {
-    const auto Ahead = Prefix.watchAsPeer(orderedRevision(3, 2));
+    const auto Ahead = Prefix.watchAsPeer(proxy::orderedRevision(3, 2));
     REQUIRE(Ahead->has_value());
     CHECK((*Ahead)->Status == 503);
     CHECK((*Ahead)->Era == 2);
   }
   SECTION("a peer of this era is served, with the era") {
-    const auto Next = Prefix.watchAsPeer(orderedRevision(2, 4));
+    const auto Next = Prefix.watchAsPeer(proxy::orderedRevision(2, 4));
     Prefix.Now += PeerWatchTimeout;
     Prefix.Watch.answerOverduePeers();
     REQUIRE(Next->has_value());
@@ -168,6 +168,6 @@
     const auto Page = parseWatch((*Next)->Body, (*Next)->Era);
     REQUIRE(Page);
     CHECK(Page->Changes.empty());
-    CHECK(Page->Revision == orderedRevision(2, 4));
+    CHECK(Page->Revision == proxy::orderedRevision(2, 4));
   }
 }
--- a/tests/serve/store_client_tests.cpp
+++ b/tests/serve/store_client_tests.cpp
@@ -1,7 +1,7 @@
 /// Tests of the calls to the store.
 #include <serve/store_client.hpp>
 
-#include <platform/store_revision.hpp>
+#include <bronzespar/proxy/store_revision.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -176,7 +176,7 @@
 proxy::effects::change_records changeOf(std::uint64_t Era) {
   proxy::effects::change_records Change;
   Change.Call = 9;
-  Change.Expected.emplace_back("group", orderedRevision(Era, 500));
+  Change.Expected.emplace_back("group", proxy::orderedRevision(Era, 500));
   return Change;
 }
 
