--- a/tests/serve/line_socket_tests.cpp
+++ b/tests/serve/line_socket_tests.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr std::size_t Kibibyte = 1024;
+
 using namespace bronzespar;
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -38,7 +40,7 @@
   std::size_t RowBytes = 10;
   serve::caller_listener Callers{Io,
                                  Where,
-                                 [this](proxy::event Event) { handle(Event); },
+                                 [this](const proxy::event &Event) { handle(Event); },
                                  Memory,
                                  8,
                                  [this](std::string_view Event) { Reports.emplace_back(Event); }};
@@ -116,7 +118,7 @@
   sendSome(Client, statementsAhead(10000));
   Host.Io.run_for(200ms);
   CHECK(Host.Statements == std::vector<std::string>{"0"});
-  CHECK(Host.Memory.budget().Held < 64 * 1024);
+  CHECK(Host.Memory.budget().Held < 64 * Kibibyte);
   Host.answer(1);
   Host.Io.run_for(200ms);
   CHECK(Host.Statements == std::vector<std::string>{"0", "1"});
@@ -124,14 +126,14 @@
 
 TEST_CASE("Statements wait while answers are not read") {
   listening_host Host;
-  Host.RowBytes = 512 * 1024;
+  Host.RowBytes = 512 * Kibibyte;
   Host.Callers.start();
   tcp::socket Client = Host.dial();
   sendSome(Client, statementsAhead(1000));
   Host.Io.run_for(500ms);
   CHECK(Host.Statements.size() < 100);
   CHECK(Host.Ended == 0);
-  CHECK(Host.Memory.budget().Held < 4 * 1024 * 1024);
+  CHECK(Host.Memory.budget().Held < 4096 * Kibibyte);
 }
 
 TEST_CASE(
@@ -153,6 +155,7 @@
   listening_host Host;
   Host.Callers.start();
   std::vector<tcp::socket> Silent;
+  Silent.reserve(20);
   for (int Index = 0; Index < 20; ++Index)
     Silent.push_back(Host.dial());
   tcp::socket Client = Host.dial();
