--- a/tests/proxy/link_watch_tests.cpp
+++ b/tests/proxy/link_watch_tests.cpp
@@ -1,5 +1,5 @@
 /// Silence of connections between hosts.
-#include "host_driver.hpp"
+#include "forwarding_driver.hpp"
 
 #include <bronzespar/proxy/link_watch.hpp>
 
@@ -15,14 +15,7 @@
 
   forwarding_host() {
     Driver.becomeReady();
-    for (int Host = 20; Host < 40; ++Host) {
-      host_record Other;
-      Other.PeerEndpoint = {"10.0.0." + std::to_string(Host), 7560};
-      Other.DataCentre = "suva";
-      Driver.send(
-          events::record_changed{{"hosts/host-" + std::to_string(Host),
-                                  formatRecord(Other), ++Driver.Revision, 8}});
-    }
+    listOtherHosts(Driver);
   }
 
   effects::forward sendRead(const std::string &Id) {
--- a/tests/proxy/owner_tests.cpp
+++ b/tests/proxy/owner_tests.cpp
@@ -1,5 +1,5 @@
 /// Connection owners, planned stops and isolation.
-#include "host_driver.hpp"
+#include "forwarding_driver.hpp"
 
 using namespace session_test;
 
@@ -133,14 +133,7 @@
   // They were asked four times within 8 ms, and then the callers were refused.
   host_driver Driver;
   Driver.becomeReady();
-  for (int Host = 20; Host < 40; ++Host) {
-    host_record Other;
-    Other.PeerEndpoint = {"10.0.0." + std::to_string(Host), 7560};
-    Other.DataCentre = "suva";
-    Driver.send(
-        events::record_changed{{"hosts/host-" + std::to_string(Host),
-                                formatRecord(Other), ++Driver.Revision, 8}});
-  }
+  listOtherHosts(Driver);
   const session_number Session = Driver.openSession("live");
   Driver.sendStatement(Session, "r1", statement_kind::Read, "READ 1");
   auto Forwards = Driver.takeEffects<effects::forward>();
--- a/tests/proxy/target_pace_tests.cpp
+++ b/tests/proxy/target_pace_tests.cpp
@@ -1,5 +1,5 @@
 /// Learnt limits of targets, against simulated targets on virtual time.
-#include "host_driver.hpp"
+#include "forwarding_driver.hpp"
 
 #include <bronzespar/proxy/target_pace.hpp>
 #include <proxy/parts.hpp>
@@ -123,14 +123,7 @@
 TEST_CASE("A forwarding host takes over the time that an owner tells") {
   host_driver Driver;
   Driver.becomeReady();
-  for (int Host = 20; Host < 40; ++Host) {
-    host_record Other;
-    Other.PeerEndpoint = {"10.0.0." + std::to_string(Host), 7560};
-    Other.DataCentre = "suva";
-    Driver.send(
-        events::record_changed{{"hosts/host-" + std::to_string(Host),
-                                formatRecord(Other), ++Driver.Revision, 8}});
-  }
+  listOtherHosts(Driver);
   Driver.sendStatement(Driver.openSession("live"), "r1", statement_kind::Read,
                        "READ 1");
   const auto Forwards = Driver.takeEffects<effects::forward>();
