--- a/review/stand-2/stand.cc
+++ b/review/stand-2/stand.cc
@@ -400,6 +400,8 @@
   chosen->at.term = group->term;
   group->primary = chosen;
   record("promoted " + id);
+  if (onPromoted)
+    onPromoted(*chosen);
   chosen->checkIn();
   for (auto &each : group->members)
     if (each.get() != chosen && each.get() != old) {
@@ -471,6 +473,14 @@
   connections = 0;
 }
 
+void member::startEmpty() {
+  data.clear();
+  log.clear();
+  at = {term, 0};
+  isPrimary = false;
+  start();
+}
+
 task member::beat() {
   const std::int64_t life = born;
   double silentSince = -1;
@@ -639,15 +649,32 @@
           for (const auto &[key, value] : pending)
             data[key] = value;
           at.number += 1;
+          log.insert(queryId);
           for (auto &other : group->members)
             if (other.get() != this && !other->isPrimary)
               spawn([](std::shared_ptr<member> to, position upTo,
-                       std::map<string, string> changes, double lag) -> task {
+                       std::map<string, string> changes, string commit,
+                       double lag) -> task {
+                const std::int64_t life = to->born;
                 co_await sleepMs(lag);
+                if (!to->running || to->deaf || to->born != life)
+                  co_return;
                 for (const auto &[key, value] : changes)
                   to->data[key] = value;
+                to->log.insert(commit);
                 to->at = std::max(to->at, upTo);
-              }(other, at, pending, group->lagMs));
+              }(other, at, pending, queryId, group->lagMs));
+          const auto isReceived = [this, &queryId] {
+            return std::any_of(group->members.begin(), group->members.end(),
+                               [&](const auto &other) {
+                                 return other.get() != this &&
+                                        other->log.contains(queryId);
+                               });
+          };
+          while (group->syncReplicas > 0 && running && !isReceived())
+            co_await sleepMs(1);
+          if (!running)
+            co_return;
           pending.clear();
         }
       }
@@ -956,7 +983,7 @@
                      {"MaxConnections", each->members.front()->maxConnections},
                      {"Protocol", "h1"},
                      {"Tls", false},
-                     {"SyncReplicas", 0}});
+                     {"SyncReplicas", each->syncReplicas}});
   platform.put("op/config", json::serialize(json::object{
                                 {"Version", configVersion++},
                                 {"Routes", std::move(routes)},
--- a/review/stand-2/stand.hh
+++ b/review/stand-2/stand.hh
@@ -90,6 +90,7 @@
   string name;
   std::vector<std::shared_ptr<member>> members;
   double lagMs = 60, promoteMs = 600, heartbeatMs = 1200;
+  unsigned syncReplicas = 0;
   std::uint64_t term = 1;
   member *primary = nullptr;
   member *find(const string &id);
@@ -107,6 +108,8 @@
   service *group = nullptr;
   store *platform = nullptr;
   bool isPrimary = false, running = true, draining = false;
+  bool deaf = false;    ///< Receives nothing from the primary.
+  std::set<string> log; ///< Ids of the commits that it holds.
   std::uint64_t term = 1, sequence = 0;
   position at;
   unsigned slots = 2, busy = 0, connections = 0, maxConnections = 16;
@@ -121,6 +124,8 @@
   void start();
   /// As a power loss of a process: resets connections, checks in no more.
   void crash();
+  /// Starts again under its id, and holds and knows nothing of before.
+  void startEmpty();
   void checkIn();
 
 private:
@@ -134,6 +139,7 @@
 struct cloud {
   std::map<string, service *> services;
   std::uint64_t orders = 0;
+  std::function<void(member &)> onPromoted;
   void start(const string &address, unsigned short port);
 
 private:
