--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,13 +5,12 @@
 cd "$(dirname "$0")/.."
 out=target/review-2
 mkdir -p "$out"
-flags=(-std=c++20 -O1 -I review/stand-2)
-if [ review/stand-2/stand.cc -nt "$out/stand.o" ] || [ review/stand-2/stand.hh -nt "$out/stand.o" ]; then
-  g++ "${flags[@]}" -c review/stand-2/stand.cc -o "$out/stand.o"
-fi
-for script in review/stand-2/*.cc; do
-  name=$(basename "$script" .cc)
-  [ "$name" = stand ] && continue
-  g++ "${flags[@]}" "$script" "$out/stand.o" -o "$out/$name" -lboost_json -lpthread &
+flags=(-std=c++20 -O1)
+g++ "${flags[@]}" -c review/stand-2.cc -o "$out/stand.o"
+jobs=()
+for number in 6 7 8 9 10; do
+  g++ "${flags[@]}" "review/$number/case.cc" "$out/stand.o" \
+    -o "$out/case-$number" -lboost_json -lpthread &
+  jobs+=($!)
 done
-for job in $(jobs -p); do wait "$job"; done
+for job in "${jobs[@]}"; do wait "$job"; done
--- a/review/stand-2/script.hh
+++ b/review/script-2.hh
@@ -1,7 +1,7 @@
 // What the scripts share: the deployment of a script and its ordinary callers.
 #pragma once
 
-#include "stand.hh"
+#include "stand-2.hh"
 
 #include <cstdlib>
 
--- a/review/stand-2/stand.cc
+++ b/review/stand-2.cc
@@ -1,5 +1,5 @@
-// Stand-ins for the scripts of review/6 to review/10; see stand.hh.
-#include "stand.hh"
+// Stand-ins for the scripts of review/6 to review/10; see stand-2.hh.
+#include "stand-2.hh"
 
 #include <algorithm>
 #include <csignal>
