--- a/review/stand-2/term.cc
+++ b/review/8/case.cc
@@ -1,5 +1,5 @@
 // Two of the three machines of a zone get SIGTERM; see the claim.
-#include "script.hh"
+#include "../script-2.hh"
 
 #include <csignal>
 #include <cstdio>
