review 3, case 11: a restored store, new processes and two primaries

Cause: a process that starts after a restore and finds no record writes one for the first target that calls itself primary. Change: the case; the store stand-in can come back from a copy, and members can be partitioned.

--- a/review/world-3.hh
+++ b/review/world-3.hh
@@ -186,6 +186,12 @@
     Listener = listenOn(Port);
     std::thread([this, Socket = Listener] { accept(Socket); }).detach();
   }
+  /// Ends all connections.
+  void cut() {
+    const std::lock_guard Lock(Guard);
+    for (const int Socket : Open)
+      ::shutdown(Socket, SHUT_RDWR);
+  }
   /// Ends the listener and all connections, as a process that is killed does.
   void down() {
     const std::lock_guard Lock(Guard);
@@ -276,10 +282,15 @@
   return true;
 }
 
-inline bool sendAnswer(int Socket, int Status, const json::object &Body) {
+/// \param Era Of the store; 0: the answer names none.
+inline bool sendAnswer(int Socket, int Status, const json::object &Body,
+                       std::uint64_t Era = 0) {
   const std::string Text = json::serialize(Body);
-  return sendAll(Socket, "HTTP/1.1 " + std::to_string(Status) +
-                             " Answer\r\nContent-Type: application/json\r\n"
+  const std::string Header =
+      Era == 0 ? "" : "Store-Era: " + std::to_string(Era) + "\r\n";
+  return sendAll(Socket, "HTTP/1.1 " + std::to_string(Status) + " Answer\r\n" +
+                             Header +
+                             "Content-Type: application/json\r\n"
                              "Content-Length: " +
                              std::to_string(Text.size()) + "\r\n\r\n" + Text);
 }
@@ -353,6 +364,38 @@
     return Out;
   }
 
+  /// Names the era in all answers from now on.
+  void tellEra() {
+    const std::lock_guard Lock(Guard);
+    Era = 1;
+  }
+  void copy() {
+    const std::lock_guard Lock(Guard);
+    Copy = {Items, Revision, LastLease, nowMs()};
+  }
+  /// The store is away for a moment and comes back from its copy: what was
+  /// written since is gone, leases too, and revisions are given out again.
+  /// \returns The age of the copy.
+  long restore(long AwayMs) {
+    IsAway = true;
+    sleepMs(AwayMs);
+    {
+      const std::lock_guard Lock(Guard);
+      Items = Copy.Items;
+      Revision = Copy.Revision;
+      LastLease = Copy.LastLease;
+      Leases.clear();
+      std::erase_if(Items, [](const auto &Each) { return Each.second.Lease != 0; });
+      History.clear();
+      HistoryFrom = Revision;
+      Era += 1;
+      Changed.notify_all();
+    }
+    Http.cut();
+    IsAway = false;
+    return nowMs() - Copy.MadeAt;
+  }
+
 private:
   struct item {
     std::string Value;
@@ -412,8 +455,9 @@
     http_request Request;
     while (receiveRequest(Socket, Buffer, Request)) {
       json::object Body;
-      const int Status = answer(Request, Body);
-      if (!sendAnswer(Socket, Status, Body))
+      const std::uint64_t AskedIn = Era;
+      const int Status = IsAway ? 503 : answer(Request, Body);
+      if (AskedIn != Era || !sendAnswer(Socket, Status, Body, Era))
         return;
     }
   }
@@ -439,6 +483,8 @@
       const auto Until =
           steady::now() + ms(Number(Request.field("WaitMs")));
       json::array Events;
+      if (After > Revision || After < HistoryFrom)
+        return 410;
       while (true) {
         for (const change &Each : History)
           if (Each.Revision > After && Each.Key.starts_with(Prefix))
@@ -517,6 +563,15 @@
     std::string Key;
     json::object Event;
   };
+  struct saved {
+    std::map<std::string, item> Items;
+    std::uint64_t Revision = 0, LastLease = 0;
+    long MadeAt = 0;
+  };
+  saved Copy;
+  std::atomic<std::uint64_t> Era{0};
+  std::atomic<bool> IsAway{false};
+  std::uint64_t HistoryFrom = 0;
   std::mutex Guard;
   std::condition_variable Changed;
   std::uint64_t Revision = 100, LastLease = 0;
@@ -528,6 +583,41 @@
 
 // ---- members -------------------------------------------------------------
 
+inline std::mutex ProcessGuard;
+inline std::set<pid_t> Processes; ///< Of the project, started by this case.
+
+/// The process of the project at the other end of a connection, or 0.
+inline pid_t hostOf(int Socket) {
+  sockaddr_in Peer{};
+  socklen_t Size = sizeof Peer;
+  ::getpeername(Socket, reinterpret_cast<sockaddr *>(&Peer), &Size);
+  char Wanted[32];
+  std::snprintf(Wanted, sizeof Wanted, "0100007F:%04X", ntohs(Peer.sin_port));
+  std::ifstream Table("/proc/net/tcp");
+  std::string Line, Inode;
+  while (std::getline(Table, Line)) {
+    char Local[64] = {};
+    unsigned long Number = 0;
+    if (std::sscanf(Line.c_str(),
+                    " %*d: %63s %*s %*x %*s %*s %*s %*d %*d %lu", Local,
+                    &Number) == 2 &&
+        std::string_view(Local) == Wanted)
+      Inode = "socket:[" + std::to_string(Number) + ']';
+  }
+  std::set<pid_t> Known;
+  {
+    const std::lock_guard Lock(ProcessGuard);
+    Known = Processes;
+  }
+  std::error_code Error;
+  for (const pid_t Each : Known)
+    for (const auto &Open : std::filesystem::directory_iterator(
+             "/proc/" + std::to_string(Each) + "/fd", Error))
+      if (std::filesystem::read_symlink(Open.path(), Error) == Inode)
+        return Each;
+  return 0;
+}
+
 struct log_entry {
   std::uint64_t Term = 0, Number = 0;
   std::string Id, Text, Tenant;
@@ -549,6 +639,8 @@
   std::function<void(const member &, const std::string &Tenant,
                      const std::string &Id, const std::string &Text)>
       OnRun;
+  /// Called with each write that a member commits, with Guard held.
+  std::function<void(const member &, const std::string &Id)> OnCommit;
 
   void beat(store &Store);
   member *find(const std::string &Id);
@@ -565,6 +657,10 @@
   bool IsPrimary = false, IsUp = true;
   /// Receives nothing of the primary's log (`replica_lag`, deaf).
   bool IsDeaf = false;
+  /// Is partitioned from the other members.
+  bool IsCutOff = false;
+  /// Whether the member is partitioned from the host with this process.
+  std::function<bool(pid_t Host)> IsCutFrom;
   std::uint64_t Term = 1;
   std::uint64_t Born = 0, Sequence = 0;
   int MissedBeats = 0;
@@ -582,9 +678,28 @@
     return std::to_string(PositionTerm) + '.' + std::to_string(Number);
   }
 
+  /// Takes one line; nothing passes while the member is cut from the host.
+  bool receive(int Socket, std::string &Buffer, std::string &Line,
+               pid_t &Host) {
+    if (!receiveLine(Socket, Buffer, Line))
+      return false;
+    if (!IsCutFrom)
+      return true;
+    if (Host == 0)
+      Host = hostOf(Socket);
+    while (IsCutFrom(Host)) {
+      char Byte = 0;
+      const ssize_t Seen = ::recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+      if (Seen == 0 || (Seen < 0 && errno != EAGAIN))
+        return false;
+      sleepMs(5);
+    }
+    return true;
+  }
   void serve(int Socket) {
     std::string Buffer, Line, Tenant;
-    if (!receiveLine(Socket, Buffer, Line))
+    pid_t Host = 0;
+    if (!receive(Socket, Buffer, Line, Host))
       return;
     {
       // STARTUP service tenant [id]
@@ -606,7 +721,7 @@
       return;
     session Session;
     Session.Tenant = Tenant;
-    while (receiveLine(Socket, Buffer, Line)) {
+    while (receive(Socket, Buffer, Line, Host)) {
       if (Line == "TERMINATE")
         return;
       const std::string Out = run(Session, Line);
@@ -730,6 +845,8 @@
     for (log_entry Entry : Writes) {
       Entry.Term = Term;
       Entry.Number = Number;
+      if (Service.OnCommit)
+        Service.OnCommit(*this, Entry.Id);
       Log.push_back(std::move(Entry));
     }
     const auto Holds = [&] {
@@ -750,10 +867,11 @@
     return true;
   }
   void replicate() {
-    if (!IsPrimary || !IsUp)
+    if (!IsPrimary || !IsUp || IsCutOff)
       return;
     for (const auto &Each : Service.Members)
       if (Each.get() != this && Each->IsUp && !Each->IsDeaf &&
+          !Each->IsCutOff &&
           Each->Term <= Term) {
         Each->Term = Term;
         Each->IsPrimary = false;
@@ -887,7 +1005,7 @@
         if (OnLead)
           OnLead(*Chosen);
         for (const auto &Each : Service->Members)
-          if (Each.get() != Chosen && Each->IsUp)
+          if (Each.get() != Chosen && Each->IsUp && !Each->IsCutOff)
             Each->IsPrimary = false;
         Chosen->replicate();
       }).detach();
@@ -901,8 +1019,6 @@
 // ---- processes of the project --------------------------------------------
 
 inline std::filesystem::path Folder;
-inline std::mutex ProcessGuard;
-inline std::set<pid_t> Processes;
 
 /// A machine that runs one session host, with settings as deploy/host.ini.
 class machine {
