--- a/review/13/case.cc
+++ b/review/13/case.cc
@@ -1,7 +1,7 @@
-/// A service with SyncReplicas 1. One replica receives nothing for a while, the
-/// other one has confirmed the commits. That one and the primary crash; the
-/// replica starts again under its id, knows nothing of before, and counts as
-/// one that holds no further commits.
+/// A service with SyncReplicas 1. The replica that has confirmed the commits is
+/// lost and leaves the list. The hosts' processes are killed; the new ones know
+/// of one replica only, which received nothing for a while, and promote it as
+/// the primary crashes.
 #include "../world-3.hh"
 
 using namespace world3;
@@ -53,12 +53,15 @@
   for (const char *Place : {"suva", "nadi", "lautoka"})
     Machines.emplace_back(std::string("edge-") + Place, Place, Store.port(),
                           Duty.port());
-  for (machine &Each : Machines)
-    Each.start();
-  for (machine &Each : Machines)
-    if (!Each.awaitReady())
-      finish(2, "a host did not become ready");
-  sleepMs(6000);
+  const auto StartAll = [&] {
+    for (machine &Each : Machines)
+      Each.start();
+    for (machine &Each : Machines)
+      if (!Each.awaitReady())
+        finish(2, "a host did not become ready");
+  };
+  StartAll();
+  sleepMs(4500);
 
   client Client;
   const auto Write = [&] {
@@ -78,34 +81,43 @@
     finish(2, "the first write was not served");
   member &Primary = *Service.find("i-suva");
   member &Confirming = *Service.find("i-nadi");
+  member &Deaf = *Service.find("i-lautoka");
   if (hasTrouble()) {
     const std::lock_guard Lock(Service.Guard);
-    Service.find("i-lautoka")->IsDeaf = true;
+    Deaf.IsDeaf = true;
     Record.line("i-lautoka receives nothing from now on");
   }
   for (int Each = 0; Each < 20; ++Each) {
     if (!Write())
       finish(2, "a write was not served");
-    sleepMs(50);
+    sleepMs(20);
   }
   if (hasTrouble()) {
-    Record.line("i-suva, the primary, and i-nadi crash");
-    Primary.crash();
+    const long LostAt = nowMs();
+    Record.line("i-nadi, which has confirmed the commits, is lost for good");
     Confirming.crash();
-    sleepMs(1000);
-    Record.line("i-nadi starts again and knows nothing of before");
-    Confirming.restart(false);
-    Service.beat(Store);
-    sleepMs(6000);
+    while (Store.list("servers/").contains("servers/i-nadi") &&
+           nowMs() < LostAt + 5000)
+      sleepMs(20);
+    Record.line("the entry of i-nadi is removed after three silent check-ins");
+    for (machine &Each : Machines)
+      Each.kill(SIGKILL);
+    Record.line("all processes of the hosts were killed");
+    sleepMs(500);
+    StartAll();
+    Record.line("i-suva, the primary, crashes");
+    Primary.crash();
     {
       const std::lock_guard Lock(Service.Guard);
-      Service.find("i-lautoka")->IsDeaf = false;
+      Deaf.IsDeaf = false;
     }
+    Record.line("i-lautoka could receive again");
+    sleepMs(6500);
     Record.line("i-suva comes back with its log");
     Primary.restart(true);
     Service.beat(Store);
   }
-  sleepMs(8000);
+  sleepMs(6000);
   if (Lost > 0)
     finish(1, std::to_string(Lost) + " acknowledged commits are not in the log "
                                      "of the member that was promoted");
