--- a/review/world-3.hh
+++ b/review/world-3.hh
@@ -642,6 +642,9 @@
   /// Called with each write that a member commits, with Guard held.
   std::function<void(const member &, const std::string &Id)> OnCommit;
 
+  /// Sends rows of its own before the rest of the answer, if it is set.
+  std::function<void(int Socket, const std::string &Line)> SendRows;
+
   void beat(store &Store);
   member *find(const std::string &Id);
 };
@@ -724,6 +727,8 @@
     while (receive(Socket, Buffer, Line, Host)) {
       if (Line == "TERMINATE")
         return;
+      if (Service.SendRows)
+        Service.SendRows(Socket, Line);
       const std::string Out = run(Session, Line);
       if (!sendAll(Socket, Out))
         return;
@@ -1095,6 +1100,16 @@
         Status >> Kb;
     return Kb / 1024;
   }
+  /// Largest resident size so far.
+  std::size_t peakMb() const {
+    std::ifstream Status("/proc/" + std::to_string(Process) + "/status");
+    std::string Word;
+    std::size_t Kb = 0;
+    while (Status >> Word)
+      if (Word == "VmHWM:")
+        Status >> Kb;
+    return Kb / 1024;
+  }
   bool isReady() const {
     const int Socket = dial(Ready);
     if (Socket < 0)
