Log what a coordinator knows as it writes a group's first record

The logs did not tell why the record named that primary: no era, a restore that was not noticed, or the order of the targets' list. Change: primary.first_record names the targets that call themselves primary, the store's era, and whether this process knew an earlier one.

--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -92,6 +92,16 @@
   Step.Out.push_back(std::move(Change));
 }
 
+/// The group's listed targets that call themselves its primary, for a log line.
+std::string describeClaims(const host &State, const std::string &Name) {
+  std::string Text;
+  for (const auto &[Id, Target] : State.Targets)
+    if (Target.Listed && Target.Entry.Group == Name &&
+        Target.Entry.ClaimsPrimary)
+      Text += Id + ' ';
+  return Text;
+}
+
 const target_view *listedPrimary(const host &State, const std::string &Name) {
   for (const auto &[Id, Target] : State.Targets)
     if (Target.Listed && Target.Entry.Group == Name &&
@@ -108,6 +118,12 @@
       Step.State.Restore.IsSeen && Step.Now < earlierErasEnd(Step.State);
   if (Primary == nullptr || MayBeKnown)
     return;
+  logLine(Step, "primary.first_record",
+          {{"group", Name},
+           {"claims", describeClaims(Step.State, Name)},
+           {"era", std::to_string(Step.State.StoreEra)},
+           {"knew_earlier_era", Step.State.Restore.IsSeen ? "true" : "false"},
+           {"hosts", std::to_string(Step.State.Hosts.size())}});
   changeRecord(
       Step, Name, Group, Group.Restored.IsMissing ? 0 : Group.Revision,
       {1, Primary->Entry.Id, true, chooseElectors(Step.State, Step.Now)});
