Rebuild a group whose first record a restored store may have lost

Cause: a coordinator wrote a first record as open, for the first listed target that calls itself primary, unless its own process had known an earlier era of the store. A process that started after the restore had not, and took a record that the copy lacked for one that was never written.

Change: the era itself tells of a restore. In an era after the first a group without a record is closed in a generation of the era, without a primary, once hosts had the time to write it again; an order decides who leads. Of several targets that call themselves primary, also in the first era, an order decides. In the first era a single one is taken at once, as before.

Ruled out: going by terms without an order, as one of the earlier era may be under way, and the target of the latest term may not be listed.

--- a/src/proxy/candidates.cpp
+++ b/src/proxy/candidates.cpp
@@ -101,6 +101,21 @@
   return Status.IsPrimary && Status.Term < latestTerm(Group);
 }
 
+/// Whether a target is the better candidate. After the loss of a primary, a
+/// draining or evacuated replica is preferred if the others lack commits,
+/// although it has to be replaced.
+bool isBetter(const host &State, const probed_target &Left,
+              const probed_target &Right) {
+  // An order of a target that leads takes longer to prove. There is one among
+  // the candidates if the record does not name the primary.
+  const auto Rank = [&](const probed_target &Each) {
+    return std::pair(!isTransient(State, Each.first), !Each.second.IsPrimary);
+  };
+  if (Left.second.Received != Right.second.Received)
+    return Left.second.Received > Right.second.Received;
+  return Rank(Left) > Rank(Right);
+}
+
 } // namespace
 
 void targetDeparted(step_context &Step, const target_entry &Entry) {
@@ -122,13 +137,7 @@
         isFormerPrimary(Group, Entry.second) ||
         (Group.Promotion.Planned && isTransient(State, Entry.first)))
       continue;
-    // After the loss of a primary, a draining or evacuated replica is the
-    // better one if the others lack commits, although it has to be replaced.
-    const bool IsBetter =
-        Best == nullptr || Entry.second.Received > Best->second.Received ||
-        (Entry.second.Received == Best->second.Received &&
-         isTransient(State, Best->first) && !isTransient(State, Entry.first));
-    if (IsBetter)
+    if (Best == nullptr || isBetter(State, Entry, *Best))
       Best = &Entry;
   }
   return Best;
@@ -145,9 +154,12 @@
       findIn(Group.Promotion.Statuses, Group.Record->Primary);
   if (Old != nullptr && Old->IsPrimary && Candidate.Received >= Old->Received)
     return true;
-  const std::size_t Replicas = countReplicas(State, Name, Group, Now);
-  const std::size_t Needed =
-      Replicas >= Confirming ? Replicas - Confirming + 1 : 1;
+  // If the primary is not known, it is one of those that are counted, and holds
+  // all commits like the replicas that confirmed them.
+  const std::size_t Holders =
+      Confirming + (Group.Record->Primary.empty() ? 1 : 0);
+  const std::size_t Counted = countReplicas(State, Name, Group, Now);
+  const std::size_t Needed = Counted >= Holders ? Counted - Holders + 1 : 1;
   return countCovered(State, Name, Group, Candidate) >= Needed;
 }
 
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -184,6 +184,9 @@
 
 // A store that came back from an older copy (restored_store.cpp).
 void storeRestored(step_context &Step, const events::store_restored &Event);
+/// \brief Whether the store has come back from an older copy at some time,
+/// also before this process started.
+[[nodiscard]] bool wasRestored(const host &State);
 /// \brief Whether a group's record holds in the present era of the store.
 [[nodiscard]] bool isConfirmed(const host &State, const group_record &Record);
 /// \brief Whether a right of an earlier era still allows the use of a group's
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -92,41 +92,84 @@
   Step.Out.push_back(std::move(Change));
 }
 
-/// The group's listed targets that call themselves its primary, for a log line.
-std::string describeClaims(const host &State, const std::string &Name) {
+std::string joined(const std::vector<std::string> &Words) {
   std::string Text;
-  for (const auto &[Id, Target] : State.Targets)
-    if (Target.Listed && Target.Entry.Group == Name &&
-        Target.Entry.ClaimsPrimary)
-      Text += Id + ' ';
+  for (const std::string &Word : Words)
+    Text += (Text.empty() ? "" : " ") + Word;
   return Text;
 }
 
-const target_view *listedPrimary(const host &State, const std::string &Name) {
+/// Whether a target is listed as a member of the group.
+bool isMember(const target_view &Target, const std::string &Name) {
+  return Target.Listed && Target.Entry.Group == Name;
+}
+
+/// Listed targets of the group that call themselves its primary.
+std::vector<std::string> listedClaims(const host &State,
+                                      const std::string &Name) {
+  std::vector<std::string> Claims;
   for (const auto &[Id, Target] : State.Targets)
-    if (Target.Listed && Target.Entry.Group == Name &&
-        Target.Entry.ClaimsPrimary)
-      return &Target;
-  return nullptr;
+    if (isMember(Target, Name) && Target.Entry.ClaimsPrimary)
+      Claims.push_back(Id);
+  return Claims;
+}
+
+/// The record of a group of which no earlier one is known to this host or to
+/// the store.
+/// \returns Nothing while none can be written.
+std::optional<group_record> firstRecord(const step_context &Step,
+                                        const std::string &Name) {
+  const host &State = Step.State;
+  const std::vector<std::string> Claims = listedClaims(State, Name);
+  if (!wasRestored(State) && Claims.size() <= 1)
+    return Claims.empty()
+               ? std::nullopt
+               : std::optional<group_record>({1, Claims.front(), true,
+                                              chooseElectors(State, Step.Now)});
+  // Hosts that know a record which the store has lost write it again until
+  // their earlier leases end.
+  const bool HasMembers = std::any_of(
+      State.Targets.begin(), State.Targets.end(),
+      [&](const auto &Entry) { return isMember(Entry.second, Name); });
+  if (!HasMembers || (wasRestored(State) && Step.Now < earlierErasEnd(State)))
+    return std::nullopt;
+  group_record Unknown;
+  Unknown.Generation = 1;
+  Unknown.Open = false;
+  Unknown.LatestOrder = named_order{};
+  return wasRestored(State) ? rebuiltRecord(State, Unknown) : Unknown;
+}
+
+/// Begins a promotion in a group of which an order that is not known may have
+/// been sent before the store was restored.
+void beginRebuild(step_context &Step, group_state &Group) {
+  if (wasRestored(Step.State))
+    Group.OrderUnderWayUntil =
+        std::max(Group.OrderUnderWayUntil,
+                 Step.State.Restore.KnownAt + MaxPromotionTime);
+  Group.Promotion = {};
+  Group.Promotion.StartedAt = Step.Now;
 }
 
+/// Writes a group's first record. It is open only if nothing but its primary
+/// can have led; otherwise an order decides who leads.
 void createRecord(step_context &Step, const std::string &Name,
                   group_state &Group) {
-  const target_view *Primary = listedPrimary(Step.State, Name);
-  // Other hosts may know the record that a restored store lacks.
-  const bool MayBeKnown =
-      Step.State.Restore.IsSeen && Step.Now < earlierErasEnd(Step.State);
-  if (Primary == nullptr || MayBeKnown)
+  const auto Record = firstRecord(Step, Name);
+  if (!Record)
     return;
   logLine(Step, "primary.first_record",
           {{"group", Name},
-           {"claims", describeClaims(Step.State, Name)},
+           {"claims", joined(listedClaims(Step.State, Name))},
            {"era", std::to_string(Step.State.StoreEra)},
            {"knew_earlier_era", Step.State.Restore.IsSeen ? "true" : "false"},
-           {"hosts", std::to_string(Step.State.Hosts.size())}});
-  changeRecord(
-      Step, Name, Group, Group.Restored.IsMissing ? 0 : Group.Revision,
-      {1, Primary->Entry.Id, true, chooseElectors(Step.State, Step.Now)});
+           {"open", Record->Open ? "true" : "false"}});
+  if (!Record->Open) {
+    beginRebuild(Step, Group);
+    enterStage(Step, Name, Group, promotion_stage::Closing);
+  }
+  changeRecord(Step, Name, Group, Group.Restored.IsMissing ? 0 : Group.Revision,
+               *Record);
 }
 
 /// Number of hosts that are listed or have expired recently. A host that still
@@ -508,6 +551,12 @@
       probeMembers(Step, Name, Group);
     return;
   }
+  // If the primary is not known, a target that is silent may lead.
+  if (OldPrimary.empty() && !Promotion.PendingProbes.empty() &&
+      Step.Now < Promotion.StageSince + CatchUpTimeout) {
+    probeAgain(Step, Name, Group);
+    return;
+  }
   const auto Old = Promotion.Statuses.find(OldPrimary);
   const bool OldAnswers =
       Old != Promotion.Statuses.end() && Old->second.IsPrimary;
@@ -586,10 +635,7 @@
 /// order that is not known may have been sent.
 void rebuildGroup(step_context &Step, const std::string &Name,
                   group_state &Group) {
-  Group.OrderUnderWayUntil = std::max(
-      Group.OrderUnderWayUntil, Step.State.Restore.KnownAt + MaxPromotionTime);
-  Group.Promotion = {};
-  Group.Promotion.StartedAt = Step.Now;
+  beginRebuild(Step, Group);
   logLine(Step, "primary.rebuilt",
           {{"group", Name},
            {"generation", std::to_string(Group.Record->Generation)},
--- a/src/proxy/records.hpp
+++ b/src/proxy/records.hpp
@@ -30,8 +30,8 @@
 /// \brief Which target is a group's primary, and whether hosts may use it.
 struct group_record {
   std::uint64_t Generation = 0; ///< Increases with each change.
-  std::string Primary;
-  bool Open = true; ///< False (closed): no host may use the primary.
+  std::string Primary; ///< Empty in a closed record: it is not known who leads.
+  bool Open = true;    ///< False (closed): no host may use the primary.
   /// Hosts whose votes allow the use of this generation during a store outage.
   std::vector<std::string> Electors = {};
   /// Closed to replace electors only: in this generation no promotion may be
--- a/src/proxy/restored_store.cpp
+++ b/src/proxy/restored_store.cpp
@@ -35,6 +35,8 @@
 constexpr duration ShareKeptPeriod = std::chrono::milliseconds(1000);
 /// Changes that a host has under way at a time.
 constexpr std::size_t MaxPendingWrites = 16;
+/// Era of a store that has never come back from a copy. It may tell none.
+constexpr std::uint64_t FirstEra = 1;
 /// Generations of a rebuilt record begin at the era, shifted by this, so that
 /// they are later than all that were written in earlier eras.
 constexpr unsigned GenerationBitsOfEra = 32;
@@ -183,6 +185,8 @@
       std::max(State.KeepAbsentUntil, earlierErasEnd(State));
 }
 
+bool wasRestored(const host &State) { return State.StoreEra > FirstEra; }
+
 bool isConfirmed(const host &State, const group_record &Record) {
   // Hosts of earlier versions write no era.
   return Record.Era >= State.StoreEra ||
--- a/tests/proxy/restore_tests.cpp
+++ b/tests/proxy/restore_tests.cpp
@@ -11,7 +11,7 @@
 constexpr unsigned FirstSeed = 3000;
 /// The same of a host that confirms records without a right.
 constexpr unsigned FirstOwnedSeed = 4005;
-constexpr unsigned Seeds = 30;
+constexpr unsigned Seeds = 51;
 /// A fleet serves again this long after its store is back.
 constexpr duration RecoveryTime = 15s;
 /// Callers commit something in this time where they are served.
