Log how many replicas a promotion took into account

Change: promotion.chosen and promotion.no_candidate name the number of replicas that may hold acknowledged commits.

--- a/src/proxy/candidates.cpp
+++ b/src/proxy/candidates.cpp
@@ -47,23 +47,6 @@
                                                        : LostTargetRetention);
 }
 
-/// Number of the group's replicas that may hold acknowledged commits.
-std::size_t countReplicas(const host &State, const std::string &Name,
-                          const group_state &Group, instant Now) {
-  const std::string &Primary = Group.Record->Primary;
-  const auto Listed = std::count_if(
-      State.Targets.begin(), State.Targets.end(), [&](const auto &Entry) {
-        return isReplicaOf(State, Entry.first, Name, Primary);
-      });
-  const auto Departed = std::count_if(
-      Group.Departed.begin(), Group.Departed.end(), [&](const auto &Entry) {
-        return Entry.first != Primary &&
-               !isReplicaOf(State, Entry.first, Name, Primary) &&
-               mayReturn(State, Name, Entry.second, Now);
-      });
-  return static_cast<std::size_t>(Listed + Departed);
-}
-
 /// Number of replicas that answered.
 /// \returns 0 if one of them has a higher position than Candidate.
 std::size_t countCovered(const host &State, const std::string &Name,
@@ -128,6 +111,22 @@
   Group->Departed[Entry.Id] = {Entry.Endpoint, Step.Now, Entry.Draining};
 }
 
+std::size_t countReplicas(const host &State, const std::string &Name,
+                          const group_state &Group, instant Now) {
+  const std::string &Primary = Group.Record->Primary;
+  const auto Listed = std::count_if(
+      State.Targets.begin(), State.Targets.end(), [&](const auto &Entry) {
+        return isReplicaOf(State, Entry.first, Name, Primary);
+      });
+  const auto Departed = std::count_if(
+      Group.Departed.begin(), Group.Departed.end(), [&](const auto &Entry) {
+        return Entry.first != Primary &&
+               !isReplicaOf(State, Entry.first, Name, Primary) &&
+               mayReturn(State, Name, Entry.second, Now);
+      });
+  return static_cast<std::size_t>(Listed + Departed);
+}
+
 const probed_target *bestReplica(const host &State, const group_state &Group) {
   const probed_target *Best = nullptr;
   for (const probed_target &Entry : Group.Promotion.Statuses) {
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -423,6 +423,11 @@
 /// answered and may be promoted. \returns Null when there is none.
 [[nodiscard]] const probed_target *bestReplica(const host &State,
                                                const group_state &Group);
+/// \brief Number of the group's replicas that may hold acknowledged commits,
+/// also of those that left the list.
+[[nodiscard]] std::size_t countReplicas(const host &State,
+                                        const std::string &Name,
+                                        const group_state &Group, instant Now);
 /// \brief Whether a candidate, the best of the replicas that answered, is known
 /// to hold all acknowledged commits.
 /// \remarks Always true where commits are acknowledged without replicas.
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -427,6 +427,8 @@
        {"candidate", Candidate},
        {"primary", Group.Record->Primary},
        {"statuses", describeStatuses(Step.State, Group.Promotion)},
+       {"replicas",
+        std::to_string(countReplicas(Step.State, Name, Group, Step.Now))},
        {"unanswered", std::to_string(Group.Promotion.PendingProbes.size())}});
   const target_status &Status = Group.Promotion.Statuses.at(Candidate);
   group_record Record = *Group.Record;
@@ -503,6 +505,8 @@
         {{"group", Name},
          {"primary", Group.Record->Primary},
          {"statuses", describeStatuses(Step.State, Group.Promotion)},
+         {"replicas",
+          std::to_string(countReplicas(Step.State, Name, Group, Step.Now))},
          {"unanswered", std::to_string(Group.Promotion.PendingProbes.size())}});
     Group.NextPlannedChangeAt = Step.Now + PlannedRetryDelay;
     openRecord(Step, Name, Group, Group.Record->Primary);
