Count replicas that left the list before a process started

Cause: enough of a group's replicas have to answer before one is promoted, and those that left the list count. Which ones left was known only to processes that saw them leave. New ones counted one replica where there were two.

A process that misses one in the list takes it for one that has just left. Records of other groups, and their calls, stay as they were.

--- a/src/proxy/candidates.cpp
+++ b/src/proxy/candidates.cpp
@@ -17,36 +17,6 @@
 
 namespace {
 
-/// A target that left the list without draining counts as a replica for this
-/// long, as it may return with its log.
-constexpr duration LostTargetRetention = std::chrono::seconds(60);
-/// The same for one that had drained. The target that takes over its log is
-/// listed by then.
-constexpr duration DrainedTargetRetention = std::chrono::seconds(5);
-
-bool isReplicaOf(const host &State, const std::string &Id,
-                 const std::string &Name, const std::string &Primary) {
-  const auto Target = State.Targets.find(Id);
-  return Target != State.Targets.end() && Target->second.Listed &&
-         Target->second.Entry.Group == Name && Id != Primary;
-}
-
-/// Whether a target that left the group's list may return with commits that no
-/// listed target holds. The log of one that drained goes to a target at its
-/// address.
-bool mayReturn(const host &State, const std::string &Name,
-               const departed_target &Departed, instant Now) {
-  const bool IsReplaced = std::any_of(
-      State.Targets.begin(), State.Targets.end(), [&](const auto &Entry) {
-        const target_view &Target = Entry.second;
-        return Target.Listed && Target.Entry.Group == Name &&
-               Target.Entry.Endpoint == Departed.Endpoint;
-      });
-  return !IsReplaced &&
-         Now < Departed.LeftAt + (Departed.WasDraining ? DrainedTargetRetention
-                                                       : LostTargetRetention);
-}
-
 /// Number of replicas that answered.
 /// \returns 0 if one of them has a higher position than Candidate.
 std::size_t countCovered(const host &State, const std::string &Name,
@@ -54,7 +24,9 @@
                          const target_status &Candidate) {
   std::size_t Covered = 0;
   for (const auto &[Id, Status] : Group.Promotion.Statuses) {
-    if (!isReplicaOf(State, Id, Name, Group.Record->Primary))
+    const target_view *Target = findIn(State.Targets, Id);
+    if (Id == Group.Record->Primary || Target == nullptr ||
+        !isMemberOf(*Target, Name))
       continue;
     if (Status.Received > Candidate.Received)
       return 0;
@@ -101,32 +73,6 @@
 
 } // namespace
 
-void targetDeparted(step_context &Step, const target_entry &Entry) {
-  group_state *Group = findIn(Step.State.Groups, Entry.Group);
-  if (Group == nullptr)
-    return;
-  std::erase_if(Group->Departed, [&](const auto &Departed) {
-    return Step.Now >= Departed.second.LeftAt + LostTargetRetention;
-  });
-  Group->Departed[Entry.Id] = {Entry.Endpoint, Step.Now, Entry.Draining};
-}
-
-std::size_t countReplicas(const host &State, const std::string &Name,
-                          const group_state &Group, instant Now) {
-  const std::string &Primary = Group.Record->Primary;
-  const auto Listed = std::count_if(
-      State.Targets.begin(), State.Targets.end(), [&](const auto &Entry) {
-        return isReplicaOf(State, Entry.first, Name, Primary);
-      });
-  const auto Departed = std::count_if(
-      Group.Departed.begin(), Group.Departed.end(), [&](const auto &Entry) {
-        return Entry.first != Primary &&
-               !isReplicaOf(State, Entry.first, Name, Primary) &&
-               mayReturn(State, Name, Entry.second, Now);
-      });
-  return static_cast<std::size_t>(Listed + Departed);
-}
-
 const probed_target *bestReplica(const host &State, const group_state &Group) {
   const probed_target *Best = nullptr;
   for (const probed_target &Entry : Group.Promotion.Statuses) {
--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -414,20 +414,38 @@
 void promotionAnswered(step_context &Step,
                        const events::promotion_answered &Event);
 
-// Choice of the next primary (candidates.cpp).
+// Targets that may hold a group's acknowledged commits (members.cpp).
+/// \brief Whether a target is listed as one of the group's.
+[[nodiscard]] bool isMemberOf(const target_view &Target,
+                              const std::string &Name);
 /// \brief Remembers a target that left the list, as it may hold commits that
 /// the group's other replicas lack.
 void targetDeparted(step_context &Step, const target_entry &Entry);
-using probed_target = std::pair<const std::string, target_status>;
-/// \brief The replica with the highest received position among those that
-/// answered and may be promoted. \returns Null when there is none.
-[[nodiscard]] const probed_target *bestReplica(const host &State,
-                                               const group_state &Group);
+/// \brief Remembers the members in the group's record that are not listed, as
+/// if they had just left: this process may have started later.
+void noteUnlistedMembers(step_context &Step, const std::string &Name,
+                         group_state &Group);
+/// \brief The members that the group's record has to name.
+/// \returns None where commits are acknowledged without replicas.
+[[nodiscard]] std::map<std::string, recorded_member>
+membersToRecord(const host &State, const std::string &Name,
+                const group_state &Group, instant Now);
+/// \brief Whether the group's record names other members than it has to.
+/// \remarks Compared when the list changes, and from time to time.
+[[nodiscard]] bool areMembersStale(const host &State, const std::string &Name,
+                                   group_state &Group, instant Now);
 /// \brief Number of the group's replicas that may hold acknowledged commits,
 /// also of those that left the list.
 [[nodiscard]] std::size_t countReplicas(const host &State,
                                         const std::string &Name,
                                         const group_state &Group, instant Now);
+
+// Choice of the next primary (candidates.cpp).
+using probed_target = std::pair<const std::string, target_status>;
+/// \brief The replica with the highest received position among those that
+/// answered and may be promoted. \returns Null when there is none.
+[[nodiscard]] const probed_target *bestReplica(const host &State,
+                                               const group_state &Group);
 /// \brief Whether a candidate, the best of the replicas that answered, is known
 /// to hold all acknowledged commits.
 /// \remarks Always true where commits are acknowledged without replicas.
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -79,6 +79,7 @@
                   group_state &Group, std::uint64_t ExpectedRevision,
                   group_record Record) {
   Record.Era = Step.State.StoreEra;
+  Record.Members = membersToRecord(Step.State, Name, Group, Step.Now);
   Group.Promotion.ChangeCall = nextNumber(Step.State);
   effects::change_records Change;
   Change.Call = Group.Promotion.ChangeCall;
@@ -99,17 +100,12 @@
   return Text;
 }
 
-/// Whether a target is listed as a member of the group.
-bool isMember(const target_view &Target, const std::string &Name) {
-  return Target.Listed && Target.Entry.Group == Name;
-}
-
 /// Listed targets of the group that call themselves its primary.
 std::vector<std::string> listedClaims(const host &State,
                                       const std::string &Name) {
   std::vector<std::string> Claims;
   for (const auto &[Id, Target] : State.Targets)
-    if (isMember(Target, Name) && Target.Entry.ClaimsPrimary)
+    if (isMemberOf(Target, Name) && Target.Entry.ClaimsPrimary)
       Claims.push_back(Id);
   return Claims;
 }
@@ -130,7 +126,7 @@
   // their earlier leases end.
   const bool HasMembers = std::any_of(
       State.Targets.begin(), State.Targets.end(),
-      [&](const auto &Entry) { return isMember(Entry.second, Name); });
+      [&](const auto &Entry) { return isMemberOf(Entry.second, Name); });
   if (!HasMembers || (wasRestored(State) && Step.Now < earlierErasEnd(State)))
     return std::nullopt;
   group_record Unknown;
@@ -200,7 +196,7 @@
   return std::any_of(State.Targets.begin(), State.Targets.end(),
                      [&](const auto &Entry) {
                        const target_view &Target = Entry.second;
-                       return Target.Listed && Target.Entry.Group == Name &&
+                       return isMemberOf(Target, Name) &&
                               !(Planned && !mayBecomePrimary(State, Target)) &&
                               Entry.first != Primary;
                      });
@@ -275,6 +271,17 @@
   closeRecord(Step, Name, Group, std::nullopt);
 }
 
+/// Writes the record with the members that it has to name. Its generation
+/// stays.
+void considerMembers(step_context &Step, const std::string &Name,
+                     group_state &Group) {
+  if (Group.Promotion.Stage != promotion_stage::None ||
+      !areMembersStale(Step.State, Name, Group, Step.Now))
+    return;
+  group_record Record = *Group.Record;
+  changeRecord(Step, Name, Group, Group.Revision, std::move(Record));
+}
+
 /// Reads which hosts may still use the old primary.
 void readHosts(step_context &Step, group_state &Group) {
   Group.Promotion.HostsCall = nextNumber(Step.State);
@@ -307,7 +314,7 @@
   Promotion.ProbeCall = nextNumber(Step.State);
   Promotion.ProbesSentAt = Step.Now;
   for (const auto &[Id, Target] : Step.State.Targets) {
-    if (!Target.Listed || Target.Entry.Group != Name)
+    if (!isMemberOf(Target, Name))
       continue;
     Promotion.PendingProbes.insert(Id);
     probeTarget(Step, Name, Promotion, Id);
@@ -665,6 +672,7 @@
   if (Group.Record->Open) {
     considerChange(Step, Name, Group);
     considerElectors(Step, Name, Group);
+    considerMembers(Step, Name, Group);
     return;
   }
   // A previous coordinator left the record closed, or an earlier change of it
@@ -704,6 +712,7 @@
 
 void superviseGroup(step_context &Step, const std::string &Name,
                     group_state &Group) {
+  noteUnlistedMembers(Step, Name, Group);
   switch (Group.Promotion.Stage) {
   case promotion_stage::None:
     considerGroup(Step, Name, Group);
--- a/src/proxy/records.cpp
+++ b/src/proxy/records.cpp
@@ -77,6 +77,36 @@
   return Order;
 }
 
+json::object toObject(const std::map<std::string, recorded_member> &Members) {
+  json::object Object;
+  for (const auto &[Id, Member] : Members)
+    Object[Id] = json::object{{"address", toText(Member.Endpoint)},
+                              {"draining", Member.IsDraining}};
+  return Object;
+}
+
+/// A member without a usable address counts, too: its id tells that it exists.
+std::map<std::string, recorded_member> membersOf(const json::object &Object) {
+  std::map<std::string, recorded_member> Members;
+  const json::value *Map = Object.if_contains("members");
+  if (Map == nullptr || !Map->is_object())
+    return Members;
+  for (const auto &Entry : Map->as_object()) {
+    recorded_member &Member = Members[std::string(Entry.key())];
+    if (!Entry.value().is_object())
+      continue;
+    const json::object &Fields = Entry.value().as_object();
+    if (const json::value *Address = Fields.if_contains("address");
+        Address != nullptr && Address->is_string())
+      Member.Endpoint = parseEndpoint(std::string_view(Address->as_string()))
+                            .value_or(endpoint{});
+    if (const json::value *Draining = Fields.if_contains("draining");
+        Draining != nullptr && Draining->is_bool())
+      Member.IsDraining = Draining->as_bool();
+  }
+  return Members;
+}
+
 } // namespace
 
 bool hasAcknowledged(const host_record &Record, const std::string &Group,
@@ -102,6 +132,8 @@
     Object["era"] = Record.Era;
   if (Record.Rebuilt)
     Object["rebuilt"] = true;
+  if (!Record.Members.empty())
+    Object["members"] = toObject(Record.Members);
   return json::serialize(Object);
 }
 
@@ -144,6 +176,7 @@
   Record.Era = toUnsigned(Object->if_contains("era")).value_or(0);
   if (const json::value *Rebuilt = Object->if_contains("rebuilt"))
     Record.Rebuilt = Rebuilt->is_bool() && Rebuilt->as_bool();
+  Record.Members = membersOf(*Object);
   if (!Record.Open && !Record.PrimaryStays)
     Record.LatestOrder = latestOrderOf(*Object);
   if (const json::value *List = Object->if_contains("electors");
--- a/src/proxy/records.hpp
+++ b/src/proxy/records.hpp
@@ -27,6 +27,14 @@
   std::uint64_t LedTerm = 0;
 };
 
+/// \brief A target that may hold a group's acknowledged commits.
+struct recorded_member {
+  endpoint Endpoint;
+  bool IsDraining = false; ///< As its entry last showed.
+  friend bool operator==(const recorded_member &,
+                         const recorded_member &) = default;
+};
+
 /// \brief Which target is a group's primary, and whether hosts may use it.
 struct group_record {
   std::uint64_t Generation = 0; ///< Increases with each change.
@@ -46,6 +54,9 @@
   std::uint64_t Era = 0;
   /// Closed since a restore of the store may have lost changes of the record.
   bool Rebuilt = false;
+  /// Where replicas confirm commits: all targets that may hold one, also of
+  /// those that have left the list, by id.
+  std::map<std::string, recorded_member> Members = {};
 };
 
 /// \brief A live host. The store removes the record when its lease ends.
--- a/src/proxy/state.hpp
+++ b/src/proxy/state.hpp
@@ -301,8 +301,11 @@
   promotion_state Promotion;
   /// Until then, the order that the closed record names may be carried out.
   instant OrderUnderWayUntil{};
-  /// Targets that have left the list, by id; see candidates.cpp.
+  /// Targets that have left the list, by id; see members.cpp.
   std::map<std::string, departed_target> Departed;
+  /// TargetsVersion for which the record's members were compared last.
+  std::uint64_t MembersVersion = 0;
+  instant NextMembersCheckAt{};
   instant NextPlannedChangeAt{}; ///< No planned promotion begins before then.
   instant NextChangeAt{}; ///< No change of the record is sent before then.
   bool PrimaryUnreachable = false; ///< This host cannot reach the primary.
--- a/tests/proxy/candidate_tests.cpp
+++ b/tests/proxy/candidate_tests.cpp
@@ -7,18 +7,8 @@
 
 namespace {
 
-using statuses = std::map<std::string, target_status>;
-
 constexpr unsigned OneReplica = 1;
 
-/// Version 2 of the settings: commits are confirmed by a number of replicas.
-void requireConfirmation(host_driver &Driver, unsigned Replicas) {
-  proxy_settings Settings = *Driver.Host->Settings;
-  Settings.Version += 1;
-  Settings.Groups[Group].ConfirmingReplicas = Replicas;
-  Driver.send(events::settings_changed{Settings});
-}
-
 void listTargets(host_driver &Driver, const std::set<std::string> &Ids,
                  const std::set<std::string> &Draining = {}) {
   events::targets_listed Listed;
@@ -36,26 +26,6 @@
   requireConfirmation(Driver, OneReplica);
 }
 
-/// Lets the coordinator go on; this host is the only one, and targets answer
-/// with Statuses, or not at all if there are none.
-/// \returns The target of the first order to promote, if there is one.
-std::optional<std::string> promote(host_driver &Driver, duration Span,
-                                   const statuses &Statuses) {
-  const instant End = Driver.Now + Span;
-  while (Driver.Now < End) {
-    Driver.grantLease(7);
-    Driver.advanceTime(20ms);
-    storeGroupRecords(Driver);
-    acknowledgeClosure(Driver, 100);
-    if (!Statuses.empty())
-      answerProbes(Driver, Statuses);
-    const auto Orders = Driver.takeEffects<effects::order_promotion>();
-    if (!Orders.empty())
-      return Orders.front().Target;
-  }
-  return std::nullopt;
-}
-
 /// Takes the promotion to the choice of a replica.
 /// \returns The probes of the targets, which are not answered yet.
 std::vector<effects::probe_target> probesOfPromotion(host_driver &Driver) {
@@ -65,9 +35,6 @@
   return Probes;
 }
 
-target_status replicaAt(std::uint64_t Index) { return {false, {1, Index}, 1}; }
-target_status primaryAt(std::uint64_t Index) { return {true, {1, Index}, 1}; }
-
 /// Lets the platform answer the order to promote b, the best of two replicas.
 /// \returns The target of the next order, if there is one.
 std::optional<std::string> candidateAfter(order_outcome Outcome) {
--- a/tests/proxy/coordinator_driver.hpp
+++ b/tests/proxy/coordinator_driver.hpp
@@ -7,6 +7,16 @@
 
 namespace session_test {
 
+/// What targets answer, by id.
+using statuses = std::map<std::string, target_status>;
+
+inline target_status replicaAt(std::uint64_t Index) {
+  return {false, {1, Index}, 1};
+}
+inline target_status primaryAt(std::uint64_t Index) {
+  return {true, {1, Index}, 1};
+}
+
 /// Answers the reads of a host that has just become the coordinator: the store
 /// holds the hosts that it knows, and no closed record of a group.
 inline void answerRoleReads(host_driver &Driver) {
@@ -119,4 +129,32 @@
   }
 }
 
+/// Version 2 of the settings: commits are confirmed by a number of replicas.
+inline void requireConfirmation(host_driver &Driver, unsigned Replicas) {
+  proxy_settings Settings = *Driver.Host->Settings;
+  Settings.Version += 1;
+  Settings.Groups[Group].ConfirmingReplicas = Replicas;
+  Driver.send(events::settings_changed{Settings});
+}
+
+/// Lets the coordinator go on; this host is the only one, and targets answer
+/// with Statuses, or not at all if there are none.
+/// \returns The target of the first order to promote, if there is one.
+inline std::optional<std::string> promote(host_driver &Driver, duration Span,
+                                          const statuses &Statuses) {
+  const instant End = Driver.Now + Span;
+  while (Driver.Now < End) {
+    Driver.grantLease(7);
+    Driver.advanceTime(20ms);
+    storeGroupRecords(Driver);
+    acknowledgeClosure(Driver, 100);
+    if (!Statuses.empty())
+      answerProbes(Driver, Statuses);
+    const auto Orders = Driver.takeEffects<effects::order_promotion>();
+    if (!Orders.empty())
+      return Orders.front().Target;
+  }
+  return std::nullopt;
+}
+
 } // namespace session_test
--- a/tests/proxy/first_record_tests.cpp
+++ b/tests/proxy/first_record_tests.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-using statuses = std::map<std::string, target_status>;
-
 /// Another target leads since term 2: "a" was replaced and does not know it.
 const statuses Replaced = {{"a", {true, {1, 90}, 1}},
                            {"b", {true, {2, 40}, 2}},
--- a/tests/proxy/host_driver.hpp
+++ b/tests/proxy/host_driver.hpp
@@ -27,6 +27,8 @@
   effect_list Effects;
   std::uint64_t Revision = 10;
   session_number LastSession = 0;
+  /// Ids of the targets that are listed at the start; "a" is the primary.
+  std::vector<std::string> TargetIds = {"a", "b", "c"};
   /// Written into the group's record.
   std::vector<std::string> Electors = {"host-1"};
 
@@ -90,8 +92,10 @@
   }
 
   void listTargets() {
-    send(events::targets_listed{
-        {makeEntry("a", true), makeEntry("b", false), makeEntry("c", false)}});
+    events::targets_listed Listed;
+    for (const std::string &Id : TargetIds)
+      Listed.Targets.push_back(makeEntry(Id, Id == "a"));
+    send(Listed);
   }
 
   void writeGroupRecord(const std::string &Primary, std::uint64_t Generation,
--- a/tests/proxy/promotion_cuts_tests.cpp
+++ b/tests/proxy/promotion_cuts_tests.cpp
@@ -10,7 +10,9 @@
 constexpr unsigned FirstSeed = 1000;
 constexpr unsigned Seeds = 100;
 
-run_totals runCuts(bool Owned, duration MostPromotionTime) {
+run_totals
+runCuts(bool Owned, duration MostPromotionTime,
+        std::function<void(simulated_reads &)> Disturb = cutAtRandom) {
   run_plan Plan;
   Plan.FirstSeed = FirstSeed;
   Plan.Seeds = Seeds;
@@ -18,7 +20,7 @@
   Plan.LeastPromotionTime = 1s;
   Plan.MostPromotionTime = MostPromotionTime;
   Plan.Prepare = aimAtOrders;
-  Plan.Disturb = cutAtRandom;
+  Plan.Disturb = std::move(Disturb);
   return runFleets(Plan);
 }
 
@@ -42,6 +44,15 @@
   checkTotals(runCuts(true, 1100ms));
 }
 
+TEST_CASE("One target is used at a time while orders are under way and all "
+          "hosts are replaced by new processes",
+          "[cuts]") {
+  checkTotals(runCuts(false, 1100ms, [](simulated_reads &Reads) {
+    cutAtRandom(Reads);
+    replaceHostsAtRandom(Reads);
+  }));
+}
+
 TEST_CASE("One target is used at a time while orders take up to 3 s",
           "[cuts]") {
   checkTotals(runCuts(false, 3s));
--- a/tests/proxy/restore_tests.cpp
+++ b/tests/proxy/restore_tests.cpp
@@ -94,7 +94,14 @@
   CHECK(Reads.Acknowledged.size() > Commits);
 }
 
-void runRestores(bool Owned, duration MostPromotionTime) {
+/// Takes new processes through restores that none of them has seen.
+void disturbNewProcesses(simulated_reads &Reads) {
+  disturb(Reads);
+  replaceHostsAtRandom(Reads);
+}
+
+void runRestores(bool Owned, duration MostPromotionTime,
+                 std::function<void(simulated_reads &)> Disturb = disturb) {
   run_plan Plan;
   Plan.FirstSeed = Owned ? FirstOwnedSeed : FirstSeed;
   Plan.Seeds = Seeds;
@@ -102,7 +109,7 @@
   Plan.LeastPromotionTime = 1s;
   Plan.MostPromotionTime = MostPromotionTime;
   Plan.Prepare = aimRestoresAtOrders;
-  Plan.Disturb = disturb;
+  Plan.Disturb = std::move(Disturb);
   Plan.Finish = checkRecovery;
   Plan.StoreEra = 1;
   const run_totals Totals = runFleets(Plan);
@@ -118,6 +125,12 @@
   runRestores(false, 1100ms);
 }
 
+TEST_CASE("Fleets of new processes keep their rules while their store comes "
+          "back from copies",
+          "[restore]") {
+  runRestores(false, 1100ms, disturbNewProcesses);
+}
+
 TEST_CASE("A fleet with connection owners keeps its rules while its store "
           "comes back from copies",
           "[restore]") {
--- a/tests/proxy/simulated_runs.cpp
+++ b/tests/proxy/simulated_runs.cpp
@@ -125,6 +125,23 @@
   return Text == nullptr ? Otherwise : static_cast<unsigned>(std::stoul(Text));
 }
 
+void replaceHosts(simulated_reads &Reads) {
+  Reads.noteText("all hosts are replaced by new processes");
+  std::vector<std::string> Names;
+  for (const auto &[Name, Simulated] : Reads.Fleet.Hosts)
+    Names.push_back(Name);
+  for (const std::string &Name : Names)
+    Reads.restartHost(Name);
+}
+
+void replaceHostsAtRandom(simulated_reads &Reads) {
+  constexpr double Share = 0.12;
+  simulated_fleet &Fleet = Reads.Fleet;
+  if (Fleet.draw() < Share)
+    Fleet.Scheduled.emplace(Fleet.Now + Fleet.drawSpan(0ms, 1s),
+                            [&Reads] { replaceHosts(Reads); });
+}
+
 std::string drawHost(simulated_fleet &Fleet) {
   return "host-" + std::to_string(1 + Fleet.Random() % Fleet.Hosts.size());
 }
--- a/tests/proxy/simulated_runs.hpp
+++ b/tests/proxy/simulated_runs.hpp
@@ -39,6 +39,11 @@
 
 /// \brief A number from the environment, for longer runs by hand.
 [[nodiscard]] unsigned environmentNumber(const char *Name, unsigned Otherwise);
+/// \brief Replaces all hosts by new processes, which know nothing of what was
+/// before.
+void replaceHosts(simulated_reads &Reads);
+/// \brief The same within the next second, at some of the calls.
+void replaceHostsAtRandom(simulated_reads &Reads);
 /// \brief Draws the name of a host.
 [[nodiscard]] std::string drawHost(simulated_fleet &Fleet);
 /// \brief Draws the id of a target.
