Wait for leases that may have been revoked before a restore was seen

Change: the era tells of the restore. Result: the new case of restored_store_tests failed before and passes.

--- a/src/proxy/coordinator.cpp
+++ b/src/proxy/coordinator.cpp
@@ -144,9 +144,9 @@
 
 void hostLeaseEnded(step_context &Step, const listed_peer &Peer) {
   // A coordinator of an earlier era may have revoked an id that was given out
-  // again.
+  // again. This process may have started since.
   const bool MayBeRevoked =
-      Step.State.Restore.IsSeen && Step.Now <= earlierErasEnd(Step.State);
+      wasRestored(Step.State) && Step.Now <= earlierErasEnd(Step.State);
   if (Peer.Record.Revoked || MayBeRevoked)
     delayOrders(Step);
 }
--- a/tests/proxy/restored_store_tests.cpp
+++ b/tests/proxy/restored_store_tests.cpp
@@ -266,6 +266,25 @@
   CHECK(Driver.Host->Coordinator.OrdersFrom != instant::max());
 }
 
+TEST_CASE("A process that starts after a restore waits for a lease that may "
+          "have been revoked in an earlier era") {
+  // Guards against an order while a host still uses the old primary: the lease
+  // was taken for one that ended by itself, as this process saw no restore.
+  host_driver Driver;
+  Driver.Host->Identity.MinimumLease = 5s;
+  Driver.send(events::store_restored{2});
+  Driver.Revision = firstRevision(2);
+  becomeCoordinator(Driver);
+  host_record Other;
+  Other.PeerEndpoint = {"10.0.0.2", 7560};
+  Driver.send(events::record_changed{
+      {"hosts/host-2", formatRecord(Other), ++Driver.Revision, 8}});
+  Driver.advanceTime(2s);
+  REQUIRE(Driver.Now < earlierErasEnd(*Driver.Host));
+  Driver.removeRecord("hosts/host-2");
+  CHECK(Driver.Host->Coordinator.OrdersFrom >= Driver.Now + LeaseLength);
+}
+
 TEST_CASE("Records name their era") {
   group_record Record{5, "a", false};
   Record.Era = 3;
