--- a/src/proxy/parts.hpp
+++ b/src/proxy/parts.hpp
@@ -414,6 +414,16 @@
 void promotionAnswered(step_context &Step,
                        const events::promotion_answered &Event);
 
+// The first record of a group (first_record.cpp).
+/// \brief The record of a group of which neither the store nor this host knows
+/// one. \remarks It is open only if its primary is the only target that can
+/// have led. \returns Nothing while none can be written.
+[[nodiscard]] std::optional<group_record>
+firstRecord(const host &State, const std::string &Name, instant Now);
+/// \brief The group's targets that call themselves primary, for the log.
+[[nodiscard]] std::string describeClaims(const host &State,
+                                         const std::string &Name);
+
 // Targets that may hold a group's acknowledged commits (members.cpp).
 /// \brief Whether a target is listed as one of the group's.
 [[nodiscard]] bool isMemberOf(const target_view &Target,
--- a/src/proxy/promotion.cpp
+++ b/src/proxy/promotion.cpp
@@ -93,49 +93,6 @@
   Step.Out.push_back(std::move(Change));
 }
 
-std::string joined(const std::vector<std::string> &Words) {
-  std::string Text;
-  for (const std::string &Word : Words)
-    Text += (Text.empty() ? "" : " ") + Word;
-  return Text;
-}
-
-/// Listed targets of the group that call themselves its primary.
-std::vector<std::string> listedClaims(const host &State,
-                                      const std::string &Name) {
-  std::vector<std::string> Claims;
-  for (const auto &[Id, Target] : State.Targets)
-    if (isMemberOf(Target, Name) && Target.Entry.ClaimsPrimary)
-      Claims.push_back(Id);
-  return Claims;
-}
-
-/// The record of a group of which no earlier one is known to this host or to
-/// the store.
-/// \returns Nothing while none can be written.
-std::optional<group_record> firstRecord(const step_context &Step,
-                                        const std::string &Name) {
-  const host &State = Step.State;
-  const std::vector<std::string> Claims = listedClaims(State, Name);
-  if (!wasRestored(State) && Claims.size() <= 1)
-    return Claims.empty()
-               ? std::nullopt
-               : std::optional<group_record>({1, Claims.front(), true,
-                                              chooseElectors(State, Step.Now)});
-  // Hosts that know a record which the store has lost write it again until
-  // their earlier leases end.
-  const bool HasMembers = std::any_of(
-      State.Targets.begin(), State.Targets.end(),
-      [&](const auto &Entry) { return isMemberOf(Entry.second, Name); });
-  if (!HasMembers || (wasRestored(State) && Step.Now < earlierErasEnd(State)))
-    return std::nullopt;
-  group_record Unknown;
-  Unknown.Generation = 1;
-  Unknown.Open = false;
-  Unknown.LatestOrder = named_order{};
-  return wasRestored(State) ? rebuiltRecord(State, Unknown) : Unknown;
-}
-
 /// Begins a promotion in a group of which an order that is not known may have
 /// been sent before the store was restored.
 void beginRebuild(step_context &Step, group_state &Group) {
@@ -151,12 +108,12 @@
 /// can have led; otherwise an order decides who leads.
 void createRecord(step_context &Step, const std::string &Name,
                   group_state &Group) {
-  const auto Record = firstRecord(Step, Name);
+  const auto Record = firstRecord(Step.State, Name, Step.Now);
   if (!Record)
     return;
   logLine(Step, "primary.first_record",
           {{"group", Name},
-           {"claims", joined(listedClaims(Step.State, Name))},
+           {"claims", describeClaims(Step.State, Name)},
            {"era", std::to_string(Step.State.StoreEra)},
            {"knew_earlier_era", Step.State.Restore.IsSeen ? "true" : "false"},
            {"open", Record->Open ? "true" : "false"}});
@@ -280,8 +237,7 @@
   if (Group.Promotion.Stage != promotion_stage::None ||
       !areMembersStale(Step.State, Name, Group, Step.Now))
     return;
-  group_record Record = *Group.Record;
-  changeRecord(Step, Name, Group, Group.Revision, std::move(Record));
+  changeRecord(Step, Name, Group, Group.Revision, *Group.Record);
 }
 
 /// Reads which hosts may still use the old primary.
