Crowd tests: choose a host's ports together, so that they differ

Cause: each port was chosen and released before the next one, and the kernel may give the same one again. Change: all four are held until the last one is chosen. No check is changed.

--- a/tests/crowds/running_host.cpp
+++ b/tests/crowds/running_host.cpp
@@ -43,6 +43,15 @@
 
 } // namespace
 
+host_ports freePorts() {
+  // A port that is released before the next one is chosen may be given again.
+  const descriptor Callers = listenOn(0);
+  const descriptor Readiness = listenOn(0);
+  const descriptor Peers = listenOn(0);
+  const descriptor Metrics = listenOn(0);
+  return {portOf(Callers), portOf(Readiness), portOf(Peers), portOf(Metrics)};
+}
+
 running_host::running_host()
     : Folder(std::filesystem::temp_directory_path() /
              ("bronzespar-crowd-" + std::to_string(::getpid()) + "-" +
--- a/tests/crowds/running_host.hpp
+++ b/tests/crowds/running_host.hpp
@@ -18,14 +18,17 @@
 inline constexpr const char *Database = "sales";
 inline constexpr const char *Key = "k1";
 
-/// \brief Ports of a host.
+/// \brief Ports of a host, all different.
 struct host_ports {
-  std::uint16_t Callers = freePort();
-  std::uint16_t Readiness = freePort();
-  std::uint16_t Peers = freePort();
-  std::uint16_t Metrics = freePort();
+  std::uint16_t Callers = 0;
+  std::uint16_t Readiness = 0;
+  std::uint16_t Peers = 0;
+  std::uint16_t Metrics = 0;
 };
 
+/// \brief Ports that were free a moment ago.
+[[nodiscard]] host_ports freePorts();
+
 /// \brief Starts bronzespar-sessiond before a stand-in store and one target,
 /// and ends it by its id. One ordinary request has been served when the
 /// constructor returns.
@@ -58,7 +61,7 @@
 
   stand_in_store Store;
   stand_in_target Target;
-  host_ports Ports;
+  host_ports Ports = freePorts();
   std::filesystem::path Folder;
   pid_t Process = -1;
 };
--- a/tests/crowds/sockets.cpp
+++ b/tests/crowds/sockets.cpp
@@ -50,8 +50,6 @@
   return ntohs(Address.sin_port);
 }
 
-std::uint16_t freePort() { return portOf(listenOn(0)); }
-
 descriptor dial(std::uint16_t Port) {
   descriptor Socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
   const sockaddr_in Address = loopback(Port);
--- a/tests/crowds/sockets.hpp
+++ b/tests/crowds/sockets.hpp
@@ -37,8 +37,6 @@
 /// \brief Listens on 127.0.0.1. \param Port 0: any free one.
 [[nodiscard]] descriptor listenOn(std::uint16_t Port);
 [[nodiscard]] std::uint16_t portOf(const descriptor &Socket);
-/// \brief A port that was free a moment ago.
-[[nodiscard]] std::uint16_t freePort();
 /// \brief Connects to 127.0.0.1. \returns A closed descriptor on failure.
 [[nodiscard]] descriptor dial(std::uint16_t Port);
 /// \returns Whether all was sent; blocks until then.
