Tests: advance time under a renewed lease in one place

Change: host_driver.hpp has it. No assertion and no span of time is changed; the lease is renewed each 100 ms, where it was 200 or 500 ms in the last two.

--- a/tests/proxy/evacuation_tests.cpp
+++ b/tests/proxy/evacuation_tests.cpp
@@ -35,15 +35,6 @@
   Driver.send(events::evacuations_changed{std::move(DataCentres), MaxAge});
 }
 
-/// Advances time under a lease that is renewed.
-void advanceUnderLease(host_driver &Driver, duration Span) {
-  const instant End = Driver.Now + Span;
-  while (Driver.Now < End) {
-    Driver.grantLease(7);
-    Driver.advanceTime(std::min<duration>(100ms, End - Driver.Now));
-  }
-}
-
 host_driver readyHost() {
   host_driver Driver;
   Driver.becomeReady();
--- a/tests/proxy/host_driver.hpp
+++ b/tests/proxy/host_driver.hpp
@@ -217,4 +217,13 @@
   }
 };
 
+/// Advances time under a lease that is renewed.
+inline void advanceUnderLease(host_driver &Driver, duration Span) {
+  const instant End = Driver.Now + Span;
+  while (Driver.Now < End) {
+    Driver.grantLease(7);
+    Driver.advanceTime(std::min<duration>(100ms, End - Driver.Now));
+  }
+}
+
 } // namespace session_test
--- a/tests/proxy/member_tests.cpp
+++ b/tests/proxy/member_tests.cpp
@@ -55,15 +55,6 @@
   Driver.listTargets();
 }
 
-/// Lets the coordinator go on for a while under its lease.
-void advanceUnderLease(host_driver &Driver, duration Span) {
-  const instant End = Driver.Now + Span;
-  while (Driver.Now < End) {
-    Driver.grantLease(7);
-    Driver.advanceTime(std::min<duration>(200ms, End - Driver.Now));
-  }
-}
-
 } // namespace
 
 TEST_CASE("A process that starts after a replica was lost does not promote one "
--- a/tests/proxy/request_tests.cpp
+++ b/tests/proxy/request_tests.cpp
@@ -215,24 +215,17 @@
   return !Sent.empty();
 }
 
-void advanceUnderLease(host_driver &Driver, int HalfSeconds) {
-  for (int Part = 0; Part < HalfSeconds; ++Part) {
-    Driver.advanceTime(500ms);
-    Driver.grantLease(7);
-  }
-}
-
 } // namespace
 
 TEST_CASE("A draining primary is used until the drain period ends") {
   host_driver Driver;
   Driver.becomeReady();
-  advanceUnderLease(Driver, 2);
+  advanceUnderLease(Driver, 1000ms);
   drainPrimary(Driver);
   CHECK(sendsRead(Driver, "r1"));
-  advanceUnderLease(Driver, 11);
+  advanceUnderLease(Driver, 5500ms);
   CHECK(sendsRead(Driver, "r2"));
-  advanceUnderLease(Driver, 3);
+  advanceUnderLease(Driver, 1500ms);
   CHECK_FALSE(sendsRead(Driver, "r3"));
 }
 
@@ -244,8 +237,8 @@
   Driver.becomeReady();
   drainPrimary(Driver);
   CHECK(sendsRead(Driver, "r1"));
-  advanceUnderLease(Driver, 4);
+  advanceUnderLease(Driver, 2000ms);
   CHECK(sendsRead(Driver, "r2"));
-  advanceUnderLease(Driver, 2);
+  advanceUnderLease(Driver, 1000ms);
   CHECK_FALSE(sendsRead(Driver, "r3"));
 }
